--- a/internal/contract/dfpcall/dfpcall.go
+++ b/internal/contract/dfpcall/dfpcall.go
@@ -131,7 +131,18 @@
 	Budget int `cbor:"budget"`
 	// Timeout is the time left until the deadline, measured when it was sent.
 	Timeout time.Duration `cbor:"timeout"`
-
+	// Objective is the time left until the answer counts as late; it is negative once it does,
+	// and 0 where the route has no latency objective.
+	Objective time.Duration `cbor:"objective,omitempty"`
+	// CallerID is the id that the caller gave this attempt; empty if it gave none.
+	CallerID string `cbor:"caller_id,omitempty"`
+	// CallerService is the service of the VM where the request began.
+	CallerService string `cbor:"caller_service,omitempty"`
+	// Instance is the backend server that must run it. The guard sets it.
+	Instance string `cbor:"-"`
+
+	// Host is the name that the caller addressed; empty where routes do not go by it.
+	Host   string              `cbor:"host,omitempty"`
 	Method string              `cbor:"method"`
 	Path   string              `cbor:"path"`
 	Header map[string][]string `cbor:"header,omitempty"`
--- a/internal/contract/dfpconfig/dfpconfig.go
+++ b/internal/contract/dfpconfig/dfpconfig.go
@@ -73,6 +73,8 @@
 	ZonePolls float64
 	// StaleAfter is the age of knowledge from which on Stale reports true; default 10 s.
 	StaleAfter time.Duration
+	// Parse reads a version's text; default dfprules.Parse. The name stands in its error.
+	Parse func(name string, text []byte) (*dfprules.Ruleset, error)
 }
 
 // Constants of the spread between nodes.
@@ -99,6 +101,9 @@
 	setDefault(&c.LonePollAfter, 3*time.Second)
 	setDefault(&c.ZonePolls, 20)
 	setDefault(&c.StaleAfter, 10*time.Second)
+	if c.Parse == nil {
+		c.Parse = dfprules.Parse
+	}
 	return c
 }
 
--- a/internal/contract/dfpconfig/install.go
+++ b/internal/contract/dfpconfig/install.go
@@ -4,8 +4,6 @@
 	"fmt"
 	"math/rand/v2"
 	"time"
-
-	"dragonflyport/internal/contract/dfprules"
 )
 
 // HeadRead takes the platform's answer to a read of HeadKey that was sent at a time; nil
@@ -105,7 +103,7 @@
 		e.Fault = fmt.Errorf("%w %d", ErrText, head.Version)
 		return
 	}
-	set, err := dfprules.Parse(fmt.Sprintf("version-%d", head.Version), text)
+	set, err := s.cfg.Parse(fmt.Sprintf("version-%d", head.Version), text)
 	if err != nil {
 		s.rejected = head.Version
 		e.Fault = fmt.Errorf("rules of version %d: %w", head.Version, err)
--- a/internal/contract/dfpconfig/value.go
+++ b/internal/contract/dfpconfig/value.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"crypto/sha256"
+	"encoding/hex"
 	"errors"
 	"fmt"
 
@@ -115,6 +116,17 @@
 	return h, nil
 }
 
+// NewHead returns the head of a text that was not written by an Applier and has no history:
+// its versions may grow in uneven steps.
+func NewHead(version uint64, text []byte) *Head {
+	sum := sha256.Sum256(text)
+	id := hex.EncodeToString(sum[:8])
+	return &Head{
+		Version: version, ApplyID: id, Size: len(text), Sum: sum,
+		History: []Apply{{Version: version, ApplyID: id}},
+	}
+}
+
 func (h *Head) check() error {
 	n := len(h.History)
 	if h.Version == 0 || h.ApplyID == "" || n == 0 || n > maxHistory || h.Size > dfprules.MaxTextBytes {
--- /dev/null
+++ b/internal/contract/dfprules/build.go
@@ -0,0 +1,171 @@
+package dfprules
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+)
+
+// ErrBuild is wrapped by the errors of Build.
+var ErrBuild = errors.New("invalid rules")
+
+// Source holds the rules of an operator who does not write them as a rules file.
+type Source struct {
+	Zones         []*Zone
+	Organisations []*Organisation
+	Keys          []*Key
+	Services      []*Service
+	// Routes go by host and prefix.
+	Routes []*Route
+	Limits Limits
+}
+
+// Build makes a Ruleset of rules that were read from another format than the rules
+// file. The error wraps ErrBuild and names every fault; then there is no Ruleset.
+func Build(src Source) (*Ruleset, error) {
+	b := builder{set: newRuleset(), seen: map[string]bool{}}
+	b.set.limits = src.Limits
+	for _, z := range src.Zones {
+		b.add(z)
+		b.set.Zones = append(b.set.Zones, z)
+		b.set.zones[z.Name] = z
+	}
+	for _, o := range src.Organisations {
+		b.add(o)
+		b.set.Organisations = append(b.set.Organisations, o)
+		b.set.organisations[o.Name] = o
+	}
+	for _, k := range src.Keys {
+		b.add(k)
+		b.set.Keys = append(b.set.Keys, k)
+		b.set.keys[k.Digest] = k
+	}
+	for _, s := range src.Services {
+		b.add(s)
+		b.set.Services = append(b.set.Services, s)
+		b.set.services[s.Name] = s
+	}
+	for _, r := range src.Routes {
+		b.route(r)
+	}
+	if len(b.faults) > 0 {
+		return nil, fmt.Errorf("%w: %w", ErrBuild, errors.Join(b.faults...))
+	}
+	return b.set, nil
+}
+
+type builder struct {
+	set    *Ruleset
+	seen   map[string]bool
+	faults []error
+}
+
+func (b *builder) fault(format string, args ...any) {
+	b.faults = append(b.faults, fmt.Errorf(format, args...))
+}
+
+func (b *builder) add(rule Rule) {
+	if b.seen[rule.ID()] {
+		b.fault("%s is given twice", rule.ID())
+	}
+	b.seen[rule.ID()] = true
+	b.set.rules = append(b.set.rules, rule)
+}
+
+func (b *builder) route(r *Route) {
+	b.add(r)
+	if !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/") {
+		b.fault("%s: the prefix must begin and end with a slash", r.ID())
+	}
+	parts := r.Split
+	if len(parts) == 0 {
+		parts = []Part{{Service: r.Service, Weight: 1}}
+	}
+	var weight float64
+	for _, part := range parts {
+		if _, found := b.set.services[part.Service]; !found {
+			b.fault("%s: the service %q does not exist", r.ID(), part.Service)
+		}
+		if part.Weight < 0 {
+			b.fault("%s: the weight of %q is negative", r.ID(), part.Service)
+		}
+		weight += part.Weight
+	}
+	if weight <= 0 {
+		b.fault("%s: no service has a weight above 0", r.ID())
+	}
+	b.set.Routes = append(b.set.Routes, r)
+	if b.set.hosts == nil {
+		b.set.hosts = map[string]map[string]*Route{}
+	}
+	if b.set.hosts[r.Host] == nil {
+		b.set.hosts[r.Host] = map[string]*Route{}
+	}
+	b.set.hosts[r.Host][r.Prefix] = r
+}
+
+// Limits returns the bounds on what callers send.
+func (s *Ruleset) Limits() Limits { return s.limits }
+
+// Find returns the route of a request: by host and the longest prefix of the escaped path
+// where the rules name hosts, else as RouteOf does.
+func (s *Ruleset) Find(method, host, path string) (*Route, bool) {
+	if s.hosts == nil {
+		return s.RouteOf(method, path)
+	}
+	prefixes := s.hosts[hostName(host)]
+	if prefixes == nil {
+		return nil, false
+	}
+	for end := len(path); end > 0; {
+		i := strings.LastIndexByte(path[:end], '/')
+		if i < 0 {
+			return nil, false
+		}
+		if r, found := prefixes[path[:i+1]]; found {
+			return r, true
+		}
+		end = i
+	}
+	return nil, false
+}
+
+// hostName returns a Host header's name without its port.
+func hostName(host string) string {
+	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
+		return host[:i]
+	}
+	return host
+}
+
+// ServiceAt returns the service of a route for a number evenly spread over [0, 1).
+func (r *Route) ServiceAt(point float64) string {
+	if len(r.Split) == 0 {
+		return r.Service
+	}
+	var sum float64
+	for _, part := range r.Split {
+		sum += part.Weight
+	}
+	point *= sum
+	for _, part := range r.Split {
+		if point < part.Weight {
+			return part.Service
+		}
+		point -= part.Weight
+	}
+	return r.Split[len(r.Split)-1].Service
+}
+
+// Leads reports whether the route may send requests to a service.
+func (r *Route) Leads(service string) bool {
+	if len(r.Split) == 0 {
+		return r.Service == service
+	}
+	for _, part := range r.Split {
+		if part.Service == service && part.Weight > 0 {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/contract/dfprules/dfprules.go
+++ b/internal/contract/dfprules/dfprules.go
@@ -87,6 +87,8 @@
 	// CallersShare is the largest part of one entry's caller connections and work
 	// in progress that the organisation may hold, above 0 and at most 1.
 	CallersShare float64 `json:"callers_share"`
+	// Rank, if not nil, goes before the importance of routes: 0 is the most important.
+	Rank *int `json:"rank,omitempty"`
 }
 
 // Key is a key that callers of an organisation may present.
@@ -110,6 +112,8 @@
 	Retries int `json:"retries"`
 	// MaxBody is the largest body of a request, in bytes.
 	MaxBody int64 `json:"max_body"`
+	// HealthPath is where backend servers tell whether they are healthy; empty if unknown.
+	HealthPath string `json:"health_path,omitempty"`
 }
 
 // WhenStale says what becomes of a request while a node can't tell whether its
@@ -130,11 +134,32 @@
 	return "serve"
 }
 
-// Route leads requests of a method and a path pattern to a service.
+// Part is a service that gets a part of a route's requests.
+type Part struct {
+	Service string `json:"service"`
+	// Weight is relative to the other parts of the route.
+	Weight float64 `json:"weight"`
+}
+
+// Route leads requests of a method and a path pattern, or of a host and a path prefix, to a
+// service.
 type Route struct {
 	Origin
-	Method     string             `json:"method"`
-	Pattern    string             `json:"pattern"`
+	// Name is set where the rules name their routes.
+	Name    string `json:"name,omitempty"`
+	Method  string `json:"method,omitempty"`
+	Pattern string `json:"pattern,omitempty"`
+	// Host and Prefix select the requests of all methods where Pattern is empty. Prefix begins and
+	// ends with a slash.
+	Host   string `json:"host,omitempty"`
+	Prefix string `json:"prefix,omitempty"`
+	// Split, if not empty, divides the requests among services in place of Service.
+	Split []Part `json:"split,omitempty"`
+	// Attempts is the largest number of backend servers that a request is handed to; 0 sets no
+	// bound besides the retry budget.
+	Attempts int `json:"attempts,omitempty"`
+	// Objective is the latency within which an answer has its full worth; 0 is none.
+	Objective  time.Duration      `json:"objective,omitempty"`
 	Service    string             `json:"service"`
 	Importance dfpcall.Importance `json:"importance"`
 	Idempotent bool               `json:"idempotent"`
@@ -165,7 +190,12 @@
 func (s *Service) ID() string { return "service " + s.Name }
 
 // ID returns the kind, method and pattern of the route.
-func (r *Route) ID() string { return "route " + r.Method + " " + r.Pattern }
+func (r *Route) ID() string {
+	if r.Pattern == "" {
+		return "route " + r.Host + r.Prefix
+	}
+	return "route " + r.Method + " " + r.Pattern
+}
 
 // ID returns the kind and address of the drained backend server.
 func (d *Drain) ID() string { return "drain " + d.Address.String() }
@@ -189,6 +219,19 @@
 	services      map[string]*Service
 	drains        map[string]bool
 	methods       map[string]*segment
+	// hosts holds the routes by host and prefix.
+	hosts map[string]map[string]*Route
+	// limits are the bounds on what callers send; zero fields set none.
+	limits Limits
+}
+
+// Limits bound what a caller may send.
+type Limits struct {
+	HeaderBytes   int
+	BodyBytes     int64
+	HeaderTimeout time.Duration
+	// IdleTimeout is how long a connection may stay open without a request.
+	IdleTimeout time.Duration
 }
 
 // Rules returns all rules in the file's order.
--- a/internal/link/dfpplatform/dfpplatform.go
+++ b/internal/link/dfpplatform/dfpplatform.go
@@ -1,5 +1,8 @@
 // Package dfpplatform is the client of the platform's key-value service.
 //
+// A Transport speaks the service's protocol; this package's own is the one of
+// proto/platform.proto. The Client above it holds the timeouts and reopens watches.
+//
 // Every call has a timeout. An error tells the caller what is certain: a call
 // that failed with ErrUnavailable had no effect, one that failed with
 // ErrOutcomeUnknown may have had one, and ErrConflict means that the service
@@ -21,14 +24,8 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"net"
-	"net/http"
 	"time"
-
-	"connectrpc.com/connect"
-
-	pb "dragonflyport/internal/proto/dfpplatformpb"
 )
 
 var (
@@ -40,6 +37,8 @@
 	ErrOutcomeUnknown = errors.New("outcome of the write is unknown")
 	// ErrConflict says that the key's revision wasn't the expected one.
 	ErrConflict = errors.New("the key has another revision")
+	// ErrHistoryLost says that changes were missed, so that a watch must list anew.
+	ErrHistoryLost = errors.New("the changes since that revision are no longer available")
 	// ErrInvalid says that the service refused the call for good, as with a
 	// value that is too long or a lease that has lapsed. It had no effect.
 	ErrInvalid = errors.New("the platform's key-value service refused the call")
@@ -47,18 +46,18 @@
 
 // Defaults of Config.
 const (
-	DefaultTimeout      = time.Second
-	DefaultSilence      = 2 * time.Second
-	DefaultReopenPause  = 200 * time.Millisecond
-	maxReopenPause      = 5 * time.Second
-	idleConnectionLimit = 10 * time.Second
-	maxAnswerBytes      = 16 << 20
+	DefaultTimeout     = time.Second
+	DefaultSilence     = 2 * time.Second
+	DefaultReopenPause = 200 * time.Millisecond
+	maxReopenPause     = 5 * time.Second
 )
 
 // Config configures a Client.
 type Config struct {
 	// URL is the service's base URL, such as "http://10.0.0.1:7000".
 	URL string
+	// Transport speaks another protocol than proto/platform.proto; URL and Dial are not used then.
+	Transport Transport
 	// Dial opens connections; nil means net.Dialer.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// Timeout bounds each call but Watch; 0 means DefaultTimeout.
@@ -92,11 +91,25 @@
 	Lease uint64
 }
 
+// Transport speaks the protocol of one key-value service. Its methods are those of Client
+// without timeouts; their errors wrap the same sentinels.
+type Transport interface {
+	Get(ctx context.Context, key string) (Entry, error)
+	List(ctx context.Context, prefix string) (entries []Entry, revision uint64, err error)
+	CompareAndSwap(ctx context.Context, write Write) (Entry, error)
+	GrantLease(ctx context.Context, ttl time.Duration) (lease uint64, err error)
+	KeepLease(ctx context.Context, lease uint64) (held bool, err error)
+	// Changes reports the changes of a prefix after a revision, and a Heartbeat now and then, until
+	// it fails. The error wraps ErrHistoryLost where changes may have been missed.
+	Changes(ctx context.Context, prefix string, after uint64, report func(Event)) error
+	// Close closes the idle connections.
+	Close()
+}
+
 // Client calls the key-value service. It is safe for concurrent use.
 type Client struct {
 	cfg       Config
-	transport *http.Transport
-	rpc       pb.KeyValueServiceClient
+	transport Transport
 }
 
 // New returns a client. It opens no connection yet.
@@ -113,39 +126,21 @@
 	if cfg.Dial == nil {
 		cfg.Dial = (&net.Dialer{}).DialContext
 	}
-	transport := &http.Transport{
-		DialContext:     markDialErrors(cfg.Dial),
-		IdleConnTimeout: idleConnectionLimit,
+	transport := cfg.Transport
+	if transport == nil {
+		transport = newConnectTransport(cfg)
 	}
-	rpc := pb.NewKeyValueServiceClient(&http.Client{Transport: transport}, cfg.URL, connect.WithReadMaxBytes(maxAnswerBytes))
-	return &Client{cfg: cfg, transport: transport, rpc: rpc}
+	return &Client{cfg: cfg, transport: transport}
 }
 
 // Close closes the idle connections.
-func (c *Client) Close() { c.transport.CloseIdleConnections() }
-
-// errDial marks a failure before anything was sent.
-var errDial = errors.New("dial")
-
-func markDialErrors(dial func(context.Context, string, string) (net.Conn, error)) func(context.Context, string, string) (net.Conn, error) {
-	return func(ctx context.Context, network, address string) (net.Conn, error) {
-		conn, err := dial(ctx, network, address)
-		if err != nil {
-			return nil, fmt.Errorf("%w: %w", errDial, err)
-		}
-		return conn, nil
-	}
-}
+func (c *Client) Close() { c.transport.Close() }
 
 // Get returns the entry of a key. Errors wrap ErrUnavailable.
 func (c *Client) Get(ctx context.Context, key string) (Entry, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.cfg.Timeout)
 	defer cancel()
-	answer, err := c.rpc.Get(ctx, connect.NewRequest(&pb.GetRequest{Key: key}))
-	if err != nil {
-		return Entry{}, readError("get", err)
-	}
-	return entryOf(answer.Msg.GetEntry()), nil
+	return c.transport.Get(ctx, key)
 }
 
 // List returns the entries whose key starts with prefix, sorted by key, and the
@@ -153,15 +148,7 @@
 func (c *Client) List(ctx context.Context, prefix string) ([]Entry, uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.cfg.Timeout)
 	defer cancel()
-	answer, err := c.rpc.List(ctx, connect.NewRequest(&pb.ListRequest{Prefix: prefix}))
-	if err != nil {
-		return nil, 0, readError("list", err)
-	}
-	entries := make([]Entry, 0, len(answer.Msg.GetEntries()))
-	for _, e := range answer.Msg.GetEntries() {
-		entries = append(entries, entryOf(e))
-	}
-	return entries, answer.Msg.GetRevision(), nil
+	return c.transport.List(ctx, prefix)
 }
 
 // CompareAndSwap changes a key whose revision is the expected one, and returns
@@ -171,21 +158,7 @@
 func (c *Client) CompareAndSwap(ctx context.Context, write Write) (Entry, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.cfg.Timeout)
 	defer cancel()
-	answer, err := c.rpc.CompareAndSwap(ctx, connect.NewRequest(&pb.CompareAndSwapRequest{
-		Key:              write.Key,
-		ExpectedRevision: write.Expected,
-		Value:            write.Value,
-		Delete:           write.Delete,
-		Lease:            write.Lease,
-	}))
-	if err != nil {
-		return Entry{}, writeError("compare and swap", err)
-	}
-	entry := entryOf(answer.Msg.GetEntry())
-	if !answer.Msg.GetSwapped() {
-		return entry, fmt.Errorf("compare and swap of %s: %w", write.Key, ErrConflict)
-	}
-	return entry, nil
+	return c.transport.CompareAndSwap(ctx, write)
 }
 
 // GrantLease makes a lease that lapses when it isn't kept for ttl. A lease
@@ -193,11 +166,7 @@
 func (c *Client) GrantLease(ctx context.Context, ttl time.Duration) (uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.cfg.Timeout)
 	defer cancel()
-	answer, err := c.rpc.GrantLease(ctx, connect.NewRequest(&pb.GrantLeaseRequest{TtlMilliseconds: ttl.Milliseconds()}))
-	if err != nil {
-		return 0, writeError("grant lease", err)
-	}
-	return answer.Msg.GetLease(), nil
+	return c.transport.GrantLease(ctx, ttl)
 }
 
 // KeepLease renews a lease and reports whether it was still held. Errors wrap
@@ -205,37 +174,5 @@
 func (c *Client) KeepLease(ctx context.Context, lease uint64) (bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.cfg.Timeout)
 	defer cancel()
-	answer, err := c.rpc.KeepLease(ctx, connect.NewRequest(&pb.KeepLeaseRequest{Lease: lease}))
-	if err != nil {
-		return false, writeError("keep lease", err)
-	}
-	return answer.Msg.GetHeld(), nil
-}
-
-// readError classifies the failure of a call without effect.
-func readError(call string, err error) error {
-	return fmt.Errorf("%s: %w: %w", call, ErrUnavailable, err)
-}
-
-// writeError classifies the failure of a write. Only the service's own word, or
-// a connection that never opened, proves that there was no effect.
-func writeError(call string, err error) error {
-	if errors.Is(err, errDial) {
-		return fmt.Errorf("%s: %w: %w", call, ErrUnavailable, err)
-	}
-	if !connect.IsWireError(err) {
-		return fmt.Errorf("%s: %w: %w", call, ErrOutcomeUnknown, err)
-	}
-	switch connect.CodeOf(err) {
-	case connect.CodeUnavailable, connect.CodeResourceExhausted, connect.CodeUnimplemented:
-		return fmt.Errorf("%s: %w: %w", call, ErrUnavailable, err)
-	case connect.CodeInvalidArgument, connect.CodeFailedPrecondition:
-		return fmt.Errorf("%s: %w: %w", call, ErrInvalid, err)
-	default:
-		return fmt.Errorf("%s: %w: %w", call, ErrOutcomeUnknown, err)
-	}
-}
-
-func entryOf(e *pb.Entry) Entry {
-	return Entry{Key: e.GetKey(), Value: e.GetValue(), Revision: e.GetRevision(), Lease: e.GetLease()}
+	return c.transport.KeepLease(ctx, lease)
 }
--- a/internal/link/dfpplatform/watch.go
+++ b/internal/link/dfpplatform/watch.go
@@ -4,10 +4,6 @@
 	"context"
 	"errors"
 	"time"
-
-	"connectrpc.com/connect"
-
-	pb "dragonflyport/internal/proto/dfpplatformpb"
 )
 
 // Event is what a watch reports: Listed, Changed, Deleted or Heartbeat.
@@ -21,7 +17,10 @@
 }
 
 // Changed is a key's new entry.
-type Changed struct{ Entry Entry }
+type Changed struct {
+	Entry    Entry
+	Revision uint64
+}
 
 // Deleted says that a key was deleted, or its lease lapsed.
 type Deleted struct {
@@ -84,43 +83,27 @@
 	// Cancelling closes the connection, so that the next stream gets a new one.
 	silence := time.AfterFunc(w.client.cfg.Silence, func() { cancel(errSilent) })
 	defer silence.Stop()
-	err := w.read(ctx, silence)
+	err := w.client.transport.Changes(ctx, w.prefix, w.revision, func(event Event) {
+		silence.Reset(w.client.cfg.Silence)
+		w.handle(event)
+	})
 	if cause := context.Cause(ctx); cause != nil {
 		return cause
 	}
-	if connect.CodeOf(err) == connect.CodeOutOfRange {
+	if errors.Is(err, ErrHistoryLost) {
 		w.listed = false
 	}
 	return err
 }
 
-// read reports the events of one stream and puts off the silence timer at each.
-func (w *watcher) read(ctx context.Context, silence *time.Timer) error {
-	stream, err := w.client.rpc.Watch(ctx, connect.NewRequest(&pb.WatchRequest{Prefix: w.prefix, AfterRevision: w.revision}))
-	if err != nil {
-		return err
-	}
-	defer func() { _ = stream.Close() }() // The stream's own error is the one that counts.
-	for stream.Receive() {
-		if ctx.Err() != nil {
-			return ctx.Err()
-		}
-		silence.Reset(w.client.cfg.Silence)
-		w.handle(stream.Msg())
-	}
-	return stream.Err()
-}
-
-func (w *watcher) handle(m *pb.WatchEvent) {
-	if m.GetRevision() > w.revision {
-		w.revision = m.GetRevision()
-	}
-	switch {
-	case m.GetChanged() != nil:
-		w.report(Changed{Entry: entryOf(m.GetChanged())})
-	case m.GetDeletedKey() != "":
-		w.report(Deleted{Key: m.GetDeletedKey(), Revision: m.GetRevision()})
-	default:
-		w.report(Heartbeat{Revision: m.GetRevision()})
+func (w *watcher) handle(event Event) {
+	switch e := event.(type) {
+	case Changed:
+		w.revision = max(w.revision, e.Revision)
+	case Deleted:
+		w.revision = max(w.revision, e.Revision)
+	case Heartbeat:
+		w.revision = max(w.revision, e.Revision)
 	}
+	w.report(event)
 }
--- /dev/null
+++ b/internal/zone/dfpquota/dfpquota.go
@@ -0,0 +1,127 @@
+// Package dfpquota keeps each organisation within its rate over the whole fleet, without a
+// coordination service and without asking anyone on the path of a request.
+//
+// Every node always holds a floor, an equal part of FloorPart of each rate. The rest is
+// allotted by demand: each node reports what it is asked for to one node, the allotter,
+// which every node picks by itself from the roster, and gets back its allotment for a
+// limited time. A node whose allotment has lapsed falls back to its floor.
+//
+// The sum of what nodes may use stays within the rate because
+//
+//   - the allotter keeps the floor of every node in the fleet aside, heard or not;
+//   - it counts an allotment as out until it has lapsed by its own clock, which began later
+//     than the holder's;
+//   - a report binds its sender to one allotter: a node that reports to another one first drops
+//     what it holds, so that of two allotters at most one is heard by a majority of the fleet;
+//   - an allotter gives nothing until it has been heard by a majority for AllotmentLife, after
+//     which whatever an earlier one gave has lapsed.
+//
+// Nothing outlives a process: a node starts with empty buckets, so that a fleet that has lost its
+// memory does not grant a burst twice.
+//
+// # Usage
+//
+//	keeper := dfpquota.New(now, dfpquota.Config{Self: address, Window: 5 * time.Second})
+//	keeper.SetRules(now, organisations)
+//	keeper.SetFleet(now, dfpquota.Fleet{Nodes: 18, Allotter: address})
+//	ok, retryAfter := keeper.Take(now, "waldspiel")
+//	sends := keeper.Tick(now)              // Every TickInterval.
+//	sends = keeper.Handle(now, from, msg)  // For each message of another node.
+//
+// A Keeper is pure and not safe for concurrent use. The times handed to it must come from a clock
+// that counts suspension.
+package dfpquota
+
+import "time"
+
+const (
+	// TickInterval is the time between calls of Tick.
+	TickInterval = 250 * time.Millisecond
+	// ReportInterval is the time between a node's reports; two may be lost before an allotment
+	// lapses.
+	ReportInterval = 750 * time.Millisecond
+	// AllotmentLife is how long an allotment may be used, counted from when its report was sent.
+	AllotmentLife = 2500 * time.Millisecond
+	// FloorPart is the part of each rate that is divided evenly and needs no allotter. The
+	// rest is what a node can have beyond its even part.
+	FloorPart = 0.5
+	// demandSpan is the time constant of the demand that a node reports.
+	demandSpan = 1500 * time.Millisecond
+	// headroom is how much more than its demand a node is allotted first, so that chance does not
+	// make it refuse.
+	headroom = 1.3
+	// minRetryAfter and maxRetryAfter bound when a refused request is told to come back. The
+	// lower one is a report interval's order: sooner, nothing will have changed.
+	minRetryAfter = 200 * time.Millisecond
+	maxRetryAfter = 2 * time.Second
+	// slackPart is the part of the rates' tolerance that buckets may hold at once; the rest is
+	// left for changes of the fleet's size that nodes notice at different times.
+	slackPart = 0.5
+)
+
+// Organisation is one organisation's rate over the whole fleet; a Rate of 0 sets no limit.
+type Organisation struct {
+	Name string
+	// Rate is in requests a second, Burst in requests.
+	Rate, Burst float64
+}
+
+// Fleet is what a node knows of the others.
+type Fleet struct {
+	// Nodes is the number of nodes that may take callers' requests, this one included, also
+	// those that cannot be reached at present.
+	Nodes int
+	// Allotter is the address of the node to report to.
+	Allotter string
+}
+
+// Config configures a Keeper.
+type Config struct {
+	// Self is this node's address.
+	Self string
+	// Window, Overage and Slack are the tolerance of a rate: in no Window does the fleet run more
+	// than (rate*Window + burst) * (1 + Overage) + Slack requests.
+	Window  time.Duration
+	Overage float64
+	Slack   float64
+}
+
+// Demand is what a node is asked for in the name of one organisation, in requests a second.
+type Demand struct {
+	Organisation string  `cbor:"1,keyasint"`
+	PerSecond    float64 `cbor:"2,keyasint"`
+}
+
+// Message is one message between two nodes: a report or its answer.
+type Message struct {
+	// Nonce numbers a node's reports; the answer repeats it.
+	Nonce uint64 `cbor:"1,keyasint"`
+	// Report says that this is a report.
+	Report bool `cbor:"2,keyasint,omitempty"`
+	// Demands are the report's, or in the answer what the node may use beyond its floor.
+	Demands []Demand `cbor:"3,keyasint,omitempty"`
+}
+
+// Send is a message for a node.
+type Send struct {
+	To      string
+	Message Message
+}
+
+// State is a dump for operators.
+type State struct {
+	Allotter string `json:"allotter"`
+	Nodes    int    `json:"nodes"`
+	// HeldUntil is when the allotment in use lapses; zero without one.
+	HeldUntil     time.Time           `json:"held_until"`
+	Organisations []OrganisationState `json:"organisations"`
+}
+
+// OrganisationState is one organisation's part at this node.
+type OrganisationState struct {
+	Name string `json:"name"`
+	// PerSecond is what this node may use now, Demand what it is asked for.
+	PerSecond float64 `json:"per_second"`
+	Demand    float64 `json:"demand"`
+	Tokens    float64 `json:"tokens"`
+}
--- /dev/null
+++ b/internal/zone/dfpquota/keeper.go
@@ -0,0 +1,258 @@
+package dfpquota
+
+import (
+	"math"
+	"sort"
+	"time"
+)
+
+// Keeper is one node's part in the organisations' rates. See the package comment.
+type Keeper struct {
+	cfg     Config
+	fleet   Fleet
+	buckets map[string]*bucket
+
+	nonce      uint64
+	nextReport time.Time
+	// sent is when each report that may still be answered was sent.
+	sent map[uint64]time.Time
+	// heldNonce is the report that the allotment in use answers.
+	heldNonce uint64
+	heldUntil time.Time
+
+	allotter allotter
+}
+
+// bucket is one organisation's token bucket at this node.
+type bucket struct {
+	organisation Organisation
+	tokens       float64
+	at           time.Time
+	// extra is what the node may use beyond its floor, a second.
+	extra  float64
+	demand demand
+}
+
+// New returns the keeper of a node that has just started.
+func New(now time.Time, cfg Config) *Keeper {
+	return &Keeper{
+		cfg: cfg, fleet: Fleet{Nodes: 1}, buckets: map[string]*bucket{},
+		sent: map[uint64]time.Time{}, nextReport: now, allotter: newAllotter(),
+	}
+}
+
+// SetRules replaces the organisations. A bucket that was there before keeps its tokens, up to
+// what the new rate lets it hold.
+func (k *Keeper) SetRules(now time.Time, organisations []Organisation) {
+	next := make(map[string]*bucket, len(organisations))
+	for _, o := range organisations {
+		b := k.buckets[o.Name]
+		if b == nil {
+			b = &bucket{at: now}
+		}
+		k.refill(now, b)
+		b.organisation = o
+		b.tokens = min(b.tokens, k.capacity(o))
+		next[o.Name] = b
+	}
+	k.buckets = next
+}
+
+// SetFleet tells the keeper of the fleet. To report to another node means to drop what the
+// one before has allotted.
+func (k *Keeper) SetFleet(now time.Time, fleet Fleet) {
+	fleet.Nodes = max(fleet.Nodes, 1)
+	if fleet == k.fleet {
+		return
+	}
+	moved := fleet.Allotter != k.fleet.Allotter
+	k.refillAll(now)
+	k.fleet = fleet
+	if moved {
+		k.drop()
+		k.sent = map[uint64]time.Time{}
+		k.nextReport = now
+	}
+}
+
+// Take takes a token for one request. Without one it returns false and when to come back.
+// An organisation without a limit, or that is not known, is never refused.
+func (k *Keeper) Take(now time.Time, organisation string) (bool, time.Duration) {
+	b := k.buckets[organisation]
+	if b == nil || b.organisation.Rate <= 0 {
+		return true, 0
+	}
+	b.demand.count(now)
+	k.refill(now, b)
+	if b.tokens < 1 {
+		return false, k.retryAfter(b)
+	}
+	b.tokens--
+	return true, 0
+}
+
+// GiveBack returns the token of a request that did not run.
+func (k *Keeper) GiveBack(now time.Time, organisation string) {
+	if b := k.buckets[organisation]; b != nil {
+		k.refill(now, b)
+		b.tokens = min(b.tokens+1, k.capacity(b.organisation))
+	}
+}
+
+func (k *Keeper) retryAfter(b *bucket) time.Duration {
+	seconds := (1 - b.tokens) / math.Max(k.rate(b), math.SmallestNonzeroFloat32)
+	wait := time.Duration(math.Min(seconds, maxRetryAfter.Seconds()) * float64(time.Second))
+	return max(wait, minRetryAfter)
+}
+
+// floor is this node's even part of a rate.
+func (k *Keeper) floor(o Organisation) float64 {
+	return FloorPart * o.Rate / float64(k.fleet.Nodes)
+}
+
+func (k *Keeper) rate(b *bucket) float64 { return k.floor(b.organisation) + b.extra }
+
+// capacity is the number of tokens that a bucket holds: the nodes' together are the burst and a
+// part of the tolerance, but a node can always save up one.
+func (k *Keeper) capacity(o Organisation) float64 {
+	tolerance := (o.Rate*k.cfg.Window.Seconds()+o.Burst)*k.cfg.Overage + k.cfg.Slack
+	return max(1, (o.Burst+slackPart*tolerance)/float64(k.fleet.Nodes))
+}
+
+// refill adds the tokens since the last time, at the allotted rate until that lapsed.
+func (k *Keeper) refill(now time.Time, b *bucket) {
+	elapsed := now.Sub(b.at).Seconds()
+	if elapsed <= 0 {
+		return
+	}
+	tokens := k.floor(b.organisation) * elapsed
+	if held := min(now.Sub(b.at), k.heldUntil.Sub(b.at)).Seconds(); held > 0 {
+		tokens += b.extra * held
+	}
+	if !now.Before(k.heldUntil) {
+		b.extra = 0
+	}
+	b.at = now
+	b.tokens = min(b.tokens+tokens, k.capacity(b.organisation))
+}
+
+func (k *Keeper) refillAll(now time.Time) {
+	for _, b := range k.buckets {
+		k.refill(now, b)
+	}
+}
+
+// drop gives the allotment in use up.
+func (k *Keeper) drop() {
+	for _, b := range k.buckets {
+		b.extra = 0
+	}
+	k.heldUntil = time.Time{}
+}
+
+// Tick sends the report that is due.
+func (k *Keeper) Tick(now time.Time) []Send {
+	if now.Before(k.nextReport) || k.fleet.Allotter == "" {
+		return nil
+	}
+	k.nextReport = now.Add(ReportInterval)
+	k.nonce++
+	for nonce, at := range k.sent {
+		if now.Sub(at) > AllotmentLife {
+			delete(k.sent, nonce)
+		}
+	}
+	k.sent[k.nonce] = now
+	report := Message{Nonce: k.nonce, Report: true, Demands: k.demands(now)}
+	if k.fleet.Allotter == k.cfg.Self {
+		return k.Handle(now, k.cfg.Self, report)
+	}
+	return []Send{{k.fleet.Allotter, report}}
+}
+
+// demands lists what this node is asked for, in the order of names.
+func (k *Keeper) demands(now time.Time) []Demand {
+	var demands []Demand
+	for name, b := range k.buckets {
+		if perSecond := b.demand.perSecond(now); perSecond > minDemand {
+			demands = append(demands, Demand{name, perSecond})
+		}
+	}
+	sort.Slice(demands, func(i, j int) bool { return demands[i].Organisation < demands[j].Organisation })
+	return demands
+}
+
+// Handle takes a message of another node, or of this one to itself.
+func (k *Keeper) Handle(now time.Time, from string, m Message) []Send {
+	if !m.Report {
+		if from == k.fleet.Allotter {
+			k.take(now, m)
+		}
+		return nil
+	}
+	answer, ok := k.allotter.report(now, from, m, k.buckets, k.fleet.Nodes)
+	if !ok {
+		return nil
+	}
+	if from == k.cfg.Self {
+		k.take(now, answer)
+		return nil
+	}
+	return []Send{{from, answer}}
+}
+
+// take puts an allotment into use. One that answers an older report than the one in use is late.
+func (k *Keeper) take(now time.Time, m Message) {
+	sentAt, found := k.sent[m.Nonce]
+	if !found || m.Nonce <= k.heldNonce || now.Sub(sentAt) >= AllotmentLife {
+		return
+	}
+	k.refillAll(now)
+	delete(k.sent, m.Nonce)
+	k.drop()
+	k.heldNonce, k.heldUntil = m.Nonce, sentAt.Add(AllotmentLife)
+	for _, d := range m.Demands {
+		if b := k.buckets[d.Organisation]; b != nil {
+			b.extra = max(0, d.PerSecond)
+		}
+	}
+}
+
+// State returns a dump, by organisation.
+func (k *Keeper) State(now time.Time) State {
+	s := State{Allotter: k.fleet.Allotter, Nodes: k.fleet.Nodes, HeldUntil: k.heldUntil}
+	for name, b := range k.buckets {
+		k.refill(now, b)
+		s.Organisations = append(s.Organisations, OrganisationState{
+			Name: name, PerSecond: k.rate(b), Demand: b.demand.perSecond(now), Tokens: b.tokens,
+		})
+	}
+	sort.Slice(s.Organisations, func(i, j int) bool { return s.Organisations[i].Name < s.Organisations[j].Name })
+	return s
+}
+
+// minDemand is the demand, in requests a second, below which none is reported.
+const minDemand = 0.01
+
+// demand is a moving mean of requests a second that fades with demandSpan.
+type demand struct {
+	seen float64
+	at   time.Time
+}
+
+func (d *demand) count(now time.Time) {
+	d.fade(now)
+	d.seen++
+}
+
+func (d *demand) fade(now time.Time) {
+	if elapsed := now.Sub(d.at); elapsed > 0 {
+		d.seen *= math.Exp(-elapsed.Seconds() / demandSpan.Seconds())
+		d.at = now
+	}
+}
+
+func (d *demand) perSecond(now time.Time) float64 {
+	d.fade(now)
+	return d.seen / demandSpan.Seconds()
+}
