--- a/cmd/dragonflyport/main.go
+++ b/cmd/dragonflyport/main.go
@@ -17,12 +17,14 @@
 	"dragonflyport/internal/operator/dfpcommand"
 	"dragonflyport/internal/operator/dfpprocess"
 	"dragonflyport/internal/standin/dfptry"
+	"dragonflyport/platform/dfpadapter"
 )
 
 func main() {
 	subcommands.Register(subcommands.HelpCommand(), "")
 	subcommands.Register(subcommands.FlagsCommand(), "")
 	subcommands.Register(&dfpprocess.NodeCommand{}, "running")
+	subcommands.Register(&dfpadapter.Command{}, "running")
 	subcommands.Register(&dfptry.Command{}, "running")
 	subcommands.Register(dfpcommand.Rules(dfpcommand.Config{}), "operating")
 	subcommands.Register(dfpcommand.Key(dfpcommand.Config{}), "operating")
--- a/internal/contract/dfpcall/dfpcall.go
+++ b/internal/contract/dfpcall/dfpcall.go
@@ -131,6 +131,8 @@
 	Budget int `cbor:"budget"`
 	// Timeout is the time left until the deadline, measured when it was sent.
 	Timeout time.Duration `cbor:"timeout"`
+	// Attempts is the largest number of backend servers that it is handed to; 0 sets no bound.
+	Attempts int `cbor:"attempts,omitempty"`
 	// Objective is the time left until the answer counts as late; it is negative once it does,
 	// and 0 where the route has no latency objective.
 	Objective time.Duration `cbor:"objective,omitempty"`
@@ -171,8 +173,10 @@
 	Reason Reason `cbor:"reason"`
 	// RetryAfter is when it makes sense to come back; 0 where it never will.
 	RetryAfter time.Duration `cbor:"retry_after"`
-	Budget     int           `cbor:"budget"`
-	Level      Level         `cbor:"level,omitempty"`
+	// Offered says that a backend server got the request and turned it away.
+	Offered bool  `cbor:"offered,omitempty"`
+	Budget  int   `cbor:"budget"`
+	Level   Level `cbor:"level,omitempty"`
 }
 
 // Unknown says that the request may have run or not.
--- a/internal/contract/dfpretry/dfpretry.go
+++ b/internal/contract/dfpretry/dfpretry.go
@@ -103,6 +103,12 @@
 	return &Retry{Budget: budget - 1}
 }
 
+// Offered reports whether a backend server got the request.
+func Offered(outcome dfpcall.Outcome) bool {
+	notRun, ok := outcome.(*dfpcall.NotRun)
+	return !ok || notRun.Offered
+}
+
 // retryable reports whether another backend server may take what one refused.
 func retryable(reason dfpcall.Reason) bool {
 	switch reason {
--- a/internal/link/dfpcaller/dfpcaller.go
+++ b/internal/link/dfpcaller/dfpcaller.go
@@ -59,7 +59,11 @@
 // Incoming is a caller's request without its key.
 type Incoming struct {
 	// Key is the caller's key in clear text; empty if there is none.
-	Key    string
+	Key string
+	// CallerID is the id that the caller gave the request; empty if its protocol has none.
+	CallerID string
+	// Host is the name that the caller addressed.
+	Host   string
 	Method string
 	// Path is the escaped path without the query.
 	Path string
--- a/internal/link/dfppeer/dfppeer.go
+++ b/internal/link/dfppeer/dfppeer.go
@@ -117,7 +117,7 @@
 	Self string
 	// Incarnation is this process's; it is never used again.
 	Incarnation uint64
-	// Secret is shared by all nodes. It is never sent or logged.
+	// Secret is shared by all nodes; SetSecret sets it later. It is never sent or logged.
 	Secret []byte
 
 	// Version returns the version of the rules in force here.
--- a/internal/link/dfppeer/handshake.go
+++ b/internal/link/dfppeer/handshake.go
@@ -83,6 +83,10 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	if !m.knowsSecret() {
+		http.Error(w, "not taking links yet", http.StatusServiceUnavailable)
+		return
+	}
 	if m.closed.Load() || m.handshakes.Add(1) > maxHandshakes {
 		m.handshakes.Add(-1)
 		http.Error(w, "not taking links now", http.StatusServiceUnavailable)
@@ -91,14 +95,14 @@
 	defer m.handshakes.Add(-1)
 	ours := m.hello()
 	ours.write(w.Header())
-	w.Header().Set(headerProof, hex.EncodeToString(prove(m.cfg.Secret, "acceptor", theirs, ours)))
+	w.Header().Set(headerProof, hex.EncodeToString(prove(*m.secret.Load(), "acceptor", theirs, ours)))
 	ws, err := websocket.Accept(bufferingWriter{w}, r, &websocket.AcceptOptions{CompressionMode: websocket.CompressionDisabled})
 	if err != nil {
 		m.stats.badHandshakes.Add(1)
 		return
 	}
 	ws.SetReadLimit(maxMessage)
-	if err := m.checkAuth(ws, prove(m.cfg.Secret, "dialer", theirs, ours)); err != nil {
+	if err := m.checkAuth(ws, prove(*m.secret.Load(), "dialer", theirs, ours)); err != nil {
 		m.stats.badHandshakes.Add(1)
 		m.cfg.Log.WithField("node", theirs.node).WithError(err).Warn("link refused")
 		_ = ws.CloseNow()
@@ -127,6 +131,9 @@
 
 // connect dials another node and proves the secret to it.
 func (m *Mesh) connect(ctx context.Context, to string) (*websocket.Conn, uint64, error) {
+	if !m.knowsSecret() {
+		return nil, 0, fmt.Errorf("%w: the secret is not known yet", ErrUnreachable)
+	}
 	ctx, cancel := context.WithTimeout(ctx, m.cfg.DialTimeout)
 	defer cancel()
 	ours := m.hello()
@@ -143,7 +150,7 @@
 	ws.SetReadLimit(maxMessage)
 	theirs, err := m.checkAcceptor(to, ours, resp.Header)
 	if err == nil {
-		err = sendAuth(ctx, ws, prove(m.cfg.Secret, "dialer", ours, theirs))
+		err = sendAuth(ctx, ws, prove(*m.secret.Load(), "dialer", ours, theirs))
 	}
 	if err != nil {
 		_ = ws.CloseNow()
@@ -158,7 +165,7 @@
 		return hello{}, err
 	}
 	proof, err := hex.DecodeString(header.Get(headerProof))
-	if err != nil || !hmac.Equal(proof, prove(m.cfg.Secret, "acceptor", ours, theirs)) {
+	if err != nil || !hmac.Equal(proof, prove(*m.secret.Load(), "acceptor", ours, theirs)) {
 		return hello{}, ErrSecret
 	}
 	if theirs.node != to {
--- a/internal/link/dfppeer/mesh.go
+++ b/internal/link/dfppeer/mesh.go
@@ -25,6 +25,8 @@
 	cancel context.CancelFunc
 	stats  stats
 
+	// secret is shared by all nodes; nil until it is known.
+	secret     atomic.Pointer[[]byte]
 	closed     atomic.Bool
 	handshakes atomic.Int32
 	controls   atomic.Int32
@@ -48,6 +50,7 @@
 		DialContext:       m.dial,
 		DisableKeepAlives: true,
 	}}
+	m.SetSecret(m.cfg.Secret)
 	m.peers.Store(&map[string]*peer{})
 	for i := range m.inbound {
 		m.inbound[i].ledger = dfponce.NewLedger(shardLedger(m.cfg.Ledger))
@@ -57,6 +60,11 @@
 	return m
 }
 
+// SetSecret sets the secret that all nodes share. Without one no link is made or taken.
+func (m *Mesh) SetSecret(secret []byte) { m.secret.Store(&secret) }
+
+func (m *Mesh) knowsSecret() bool { return len(*m.secret.Load()) > 0 }
+
 func (m *Mesh) dial(ctx context.Context, network, address string) (net.Conn, error) {
 	c, err := m.cfg.Dial(ctx, network, address)
 	if err == nil {
--- a/internal/operator/dfpprocess/dfpprocess.go
+++ b/internal/operator/dfpprocess/dfpprocess.go
@@ -68,13 +68,13 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitUsage
 	}
-	logger := newLogger(os.Stderr, c.settings.LogLevel)
+	logger := NewLogger(os.Stderr, c.settings.LogLevel)
 	cfg, err := nodeConfig(c.settings, logger)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailed
 	}
-	tuneCollector()
+	TuneCollector(collectorLimit)
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	if err := dfpnode.New(cfg).Run(ctx); err != nil {
@@ -88,22 +88,26 @@
 	// collectorPercent lets the heap grow to five times what is live between two collections. A
 	// node's heap is a few megabytes, so that at Go's 100 it would collect many times a second.
 	collectorPercent = 400
-	// collectorLimit is the memory in bytes near which it collects more often after all.
-	collectorLimit = 48 << 20
+	// collectorLimit is the memory in bytes that a node may have by its settings' default.
+	collectorLimit = 64 << 20
 )
 
-// tuneCollector sets the garbage collector for short pauses within a node's
-// memory, unless Go's own variables GOGC and GOMEMLIMIT say otherwise.
-func tuneCollector() {
+// collectorPart is the part of a process's memory near which it collects more often after all.
+const collectorPart = 0.7
+
+// TuneCollector sets the garbage collector for short pauses within so many bytes of memory,
+// unless Go's own variables GOGC and GOMEMLIMIT say otherwise.
+func TuneCollector(memory int64) {
 	if os.Getenv("GOGC") == "" {
 		debug.SetGCPercent(collectorPercent)
 	}
 	if os.Getenv("GOMEMLIMIT") == "" {
-		debug.SetMemoryLimit(collectorLimit)
+		debug.SetMemoryLimit(int64(collectorPart * float64(memory)))
 	}
 }
 
-func newLogger(w io.Writer, level string) *log.Logger {
+// NewLogger returns a logger that writes JSON lines of a level and above; info if it has no such name.
+func NewLogger(w io.Writer, level string) *log.Logger {
 	parsed, err := log.ParseLevel(level)
 	if err != nil {
 		parsed = log.InfoLevel
--- a/internal/vm/dfpnode/dfpnode.go
+++ b/internal/vm/dfpnode/dfpnode.go
@@ -45,12 +45,15 @@
 	"golang.org/x/sync/errgroup"
 
 	"dragonflyport/internal/contract/dfpcall"
+	"dragonflyport/internal/contract/dfpretry"
+	"dragonflyport/internal/contract/dfprules"
 	"dragonflyport/internal/link/dfpbackend"
 	"dragonflyport/internal/link/dfpcaller"
 	"dragonflyport/internal/link/dfppeer"
 	"dragonflyport/internal/link/dfpplatform"
 	"dragonflyport/internal/vm/dfpguard"
 	"dragonflyport/internal/vm/dfpvm"
+	"dragonflyport/internal/zone/dfpquota"
 	"dragonflyport/internal/zone/dfproute"
 )
 
@@ -63,6 +66,7 @@
 	DefaultMaxCallers   = 4096
 	DefaultMaxRequests  = 4096
 	DefaultStaleAfter   = 10 * time.Second
+	DefaultGoodbyeTime  = 500 * time.Millisecond
 )
 
 // Config configures a Node. Zero fields take the defaults.
@@ -114,6 +118,28 @@
 	// LinkSilentAfter is how long a link may leave a probe unanswered before it is given
 	// up; 0 takes dfppeer's default.
 	LinkSilentAfter time.Duration
+	// Backend runs requests on this VM's backend server; nil speaks dfpbackend's protocol.
+	Backend Backend
+	// Rules says where the rules come from; nil takes them from Platform, as operators' commands
+	// write them.
+	Rules RulesSource
+	// ParseRules reads the text of rules; nil reads the rules file's format.
+	ParseRules func(name string, text []byte) (*dfprules.Ruleset, error)
+	// Quota, if not nil, keeps the organisations' rates by dfpquota in place of dfpshare, whose
+	// zones' parts have to be configured.
+	Quota *dfpquota.Config
+	// NoClaims serves requests without claims of idempotency keys.
+	NoClaims bool
+	// CallerService is the service of this VM as backend servers are told of it; empty if it is
+	// not told.
+	CallerService string
+	// AbsentAfter is the age of the rules from which on a request for a route or key that they do
+	// not have is refused for now, not for good; 0 takes StaleAfter.
+	AbsentAfter time.Duration
+	// Repeats, if not nil, bounds the repeats of the whole fleet at each service.
+	Repeats *dfpretry.FleetConfig
+	// GoodbyeTime is how long a stopping node still takes requests; 0 takes DefaultGoodbyeTime.
+	GoodbyeTime time.Duration
 	// KeepKeys passes callers' keys on to backend servers. Only the test that proves the
 	// removal of keys sets it.
 	KeepKeys bool
@@ -147,10 +173,31 @@
 	if cfg.StaleAfter == 0 {
 		cfg.StaleAfter = DefaultStaleAfter
 	}
+	if cfg.AbsentAfter == 0 {
+		cfg.AbsentAfter = cfg.StaleAfter
+	}
+	if cfg.GoodbyeTime == 0 {
+		cfg.GoodbyeTime = DefaultGoodbyeTime
+	}
+	if cfg.Backend == nil {
+		cfg.Backend = dfpbackend.New(dfpbackend.Config{Dial: cfg.DialBackend})
+	}
+	if cfg.Rules == nil && cfg.Platform != nil {
+		cfg.Rules = platformRules{cfg.Platform}
+	}
 	cfg.Route.Zone, cfg.Route.Region = cfg.VM.Zone, cfg.VM.Region
 	return cfg
 }
 
+// Backend runs requests on the backend server of this VM, truthfully as dfpbackend.Client does.
+type Backend interface {
+	// Run runs one request and waits for the whole answer. The token names the request in calls
+	// that the backend server makes for it.
+	Run(ctx context.Context, address string, req *dfpcall.Request, token string) dfpcall.Outcome
+	// Close closes the idle connections.
+	Close()
+}
+
 // Node is one process. Its methods are safe for concurrent use.
 type Node struct {
 	cfg     Config
@@ -163,7 +210,7 @@
 	end  context.CancelFunc
 
 	mesh    *dfppeer.Mesh
-	backend *dfpbackend.Client
+	backend Backend
 	router  *dfproute.Router
 	callers *dfpcaller.Handler
 
@@ -175,7 +222,8 @@
 	guard   guardGate
 	roster  rosterLoop
 	config  configLoop
-	rates   ratesLoop
+	rates   organisationRates
+	repeats *fleetRepeats
 	claims  claimsLoop
 	entry   entryState
 	policy  entryPolicy
@@ -191,11 +239,12 @@
 	n := &Node{cfg: cfg, group: new(errgroup.Group)}
 	n.serverLog.log = cfg.Log
 	n.life, n.end = context.WithCancel(context.Background())
-	n.backend = dfpbackend.New(dfpbackend.Config{Dial: cfg.DialBackend})
+	n.backend = cfg.Backend
 	n.router = dfproute.New(cfg.Route)
 	n.callers = dfpcaller.New(dfpcaller.Config{Admit: n.admitCaller, Serve: n.serveCaller, KeepKeys: cfg.KeepKeys})
 	n.guard.init(n)
-	n.rates.init(n) // Before the roster, which tells it of peers.
+	n.rates = newRates(n) // Before the roster, which tells it of peers.
+	n.repeats = newFleetRepeats(cfg.Repeats)
 	n.roster.init(n)
 	n.config.init(n)
 	n.claims.init(n)
@@ -219,7 +268,8 @@
 }
 
 // Drain says that the backend server of this VM is leaving: others send it no
-// new work and the guard admits none, while what runs goes on.
+// new work and the guard admits none, while what runs goes on. It holds for a backend server that
+// is announced later, too, unless it is another instance and the node itself is not stopping.
 func (n *Node) Drain() {
 	if n.cfg.NoDrain {
 		return
@@ -228,6 +278,18 @@
 	n.roster.changeSelf(func(vm *dfpvm.VM) { vm.Draining = true })
 }
 
+// SetSecret sets the secret that all nodes share, where Config.Secret could not.
+func (n *Node) SetSecret(secret []byte) { n.mesh.SetSecret(secret) }
+
+// Stopping reports whether the graceful shutdown has begun.
+func (n *Node) Stopping() bool { return n.stopping.Load() }
+
+// KnowsRules reports whether any rules are in force here.
+func (n *Node) KnowsRules() bool { return n.config.rules() != nil }
+
+// Rules returns the rules in force, or nil.
+func (n *Node) Rules() *dfprules.Ruleset { return n.config.rules() }
+
 // runUnlessDrained runs a peer's request at this VM's guard. The peer may not have
 // heard yet of a rule that drains the backend server here.
 func (n *Node) runUnlessDrained(ctx context.Context, from string, req *dfpcall.Request) dfpcall.Outcome {
@@ -263,7 +325,7 @@
 	if rules == nil {
 		return fmt.Errorf("%w: no rules", ErrNotReady)
 	}
-	if !n.claims.ready() {
+	if !n.cfg.NoClaims && !n.claims.ready() {
 		return fmt.Errorf("%w: no homes of claims", ErrNotReady)
 	}
 	known := 0
--- a/internal/vm/dfpnode/dfpnode_config.go
+++ b/internal/vm/dfpnode/dfpnode_config.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -10,7 +11,7 @@
 	"dragonflyport/internal/contract/dfpconfig"
 	"dragonflyport/internal/contract/dfprules"
 	"dragonflyport/internal/link/dfppeer"
-	"dragonflyport/internal/link/dfpplatform"
+	"dragonflyport/internal/vm/dfpclock"
 )
 
 const (
@@ -40,14 +41,14 @@
 	l.n = n
 	l.state = dfpconfig.New(dfpconfig.Config{
 		Self: n.cfg.VM.Address, Zone: n.cfg.VM.Zone, Region: n.cfg.VM.Region,
-		Seeds: n.cfg.Seeds, StaleAfter: n.cfg.StaleAfter,
+		Seeds: n.cfg.Seeds, StaleAfter: n.cfg.StaleAfter, Parse: n.cfg.ParseRules,
 	})
 	l.rnd = n.newRand(streamConfig)
 }
 
 // run keeps the rules up to date until the node ends.
 func (l *configLoop) run() error {
-	if l.n.cfg.Platform != nil {
+	if l.n.cfg.Rules != nil {
 		l.n.group.Go(l.runWatch)
 	}
 	ticker := time.NewTicker(configTick)
@@ -58,20 +59,21 @@
 		select {
 		case <-l.n.life.Done():
 			return nil
-		case now := <-ticker.C:
+		case <-ticker.C:
+			now := dfpclock.Now()
 			if now.Sub(rosterAt) >= configRoster {
 				rosterAt = now
 				l.setRoster()
 			}
 			l.do(func(s *dfpconfig.State) dfpconfig.Effects { return s.Tick(now, l.rnd) })
-			wasStale = l.logStale(wasStale, now)
+			wasStale = l.logStale(wasStale)
 		}
 	}
 }
 
 // logStale logs when the rules become stale and when they are fresh again.
-func (l *configLoop) logStale(wasStale bool, now time.Time) bool {
-	isStale := l.stale(now)
+func (l *configLoop) logStale(wasStale bool) bool {
+	isStale := l.stale()
 	switch {
 	case isStale && !wasStale:
 		l.n.cfg.Log.WithField("version", l.version()).Warn("rules are stale")
@@ -115,7 +117,7 @@
 
 // readHead reads the platform's head once.
 func (l *configLoop) readHead() error {
-	sentAt := time.Now()
+	sentAt := dfpclock.Now()
 	head, err := l.fetchHead()
 	l.reading.Store(false)
 	l.do(func(s *dfpconfig.State) dfpconfig.Effects {
@@ -123,46 +125,32 @@
 			s.HeadFailed()
 			return dfpconfig.Effects{}
 		}
-		return s.HeadRead(time.Now(), l.rnd, sentAt, head)
+		return s.HeadRead(dfpclock.Now(), l.rnd, sentAt, head)
 	})
 	return nil
 }
 
 func (l *configLoop) fetchHead() (*dfpconfig.Head, error) {
-	if l.n.cfg.Platform == nil {
-		return nil, dfpplatform.ErrUnavailable
+	if l.n.cfg.Rules == nil {
+		return nil, errNoRulesSource
 	}
-	entry, err := l.n.cfg.Platform.Get(l.n.life, dfpconfig.HeadKey)
-	if err != nil {
-		l.n.metrics.platformFailures.Add(1)
-		return nil, err
-	}
-	return l.decodeHead(entry)
-}
-
-// decodeHead returns the head of an entry, or nil if there is none.
-func (l *configLoop) decodeHead(entry dfpplatform.Entry) (*dfpconfig.Head, error) {
-	if entry.Revision == 0 {
-		return nil, nil
-	}
-	head, err := dfpconfig.DecodeHead(entry.Value)
-	if err != nil {
+	head, err := l.n.cfg.Rules.Head(l.n.life)
+	switch {
+	case errors.Is(err, dfpconfig.ErrHead):
 		l.n.cfg.Log.WithError(err).Error("rules not taken")
+	case err != nil:
+		l.n.metrics.platformFailures.Add(1)
 	}
 	return head, err
 }
 
 // readText reads a version's text from the platform.
 func (l *configLoop) readText(key string) {
-	entry, err := l.n.cfg.Platform.Get(l.n.life, key)
+	text, err := l.n.cfg.Rules.Text(l.n.life, key)
 	if err != nil {
 		l.n.metrics.platformFailures.Add(1)
 	}
-	var text []byte
-	if err == nil && entry.Revision != 0 {
-		text = entry.Value
-	}
-	l.do(func(s *dfpconfig.State) dfpconfig.Effects { return s.TextRead(time.Now(), l.rnd, key, text) })
+	l.do(func(s *dfpconfig.State) dfpconfig.Effects { return s.TextRead(dfpclock.Now(), l.rnd, key, text) })
 }
 
 // runWatch watches the platform's head while this node is one of its zone's watchers.
@@ -180,7 +168,7 @@
 			cancel()
 			return nil
 		})
-		_ = l.n.cfg.Platform.Watch(ctx, dfpconfig.HeadKey, l.report) // It ends with ctx only.
+		_ = l.n.cfg.Rules.Watch(ctx, l.report) // It ends with ctx only.
 		cancel()
 	}
 	return nil
@@ -192,23 +180,9 @@
 	return l.state.IsWatcher()
 }
 
-// report takes in what the platform's watch says.
-func (l *configLoop) report(event dfpplatform.Event) {
-	var entries []dfpplatform.Entry
-	switch e := event.(type) {
-	case dfpplatform.Listed:
-		entries = e.Entries
-	case dfpplatform.Changed:
-		entries = append(entries, e.Entry)
-	}
-	for _, entry := range entries {
-		if entry.Key != dfpconfig.HeadKey {
-			continue
-		}
-		if head, err := l.decodeHead(entry); err == nil && head != nil {
-			l.do(func(s *dfpconfig.State) dfpconfig.Effects { return s.HeadWatched(time.Now(), l.rnd, head) })
-		}
-	}
+// report takes in a head that the watch has brought.
+func (l *configLoop) report(head *dfpconfig.Head) {
+	l.do(func(s *dfpconfig.State) dfpconfig.Effects { return s.HeadWatched(dfpclock.Now(), l.rnd, head) })
 }
 
 // rules returns the rules in force, or nil if none are known yet.
@@ -227,10 +201,20 @@
 	return 0
 }
 
-// stale reports whether it is too long ago that the rules were known to be in force.
-func (l *configLoop) stale(now time.Time) bool {
+// age returns how long ago the rules in force were known to be the newest, and false if
+// they never were. It is measured by dfpclock.
+func (l *configLoop) age() (time.Duration, bool) {
 	fresh := l.fresh.Load()
-	return fresh == nil || now.Sub(*fresh) >= l.n.cfg.StaleAfter
+	if fresh == nil {
+		return 0, false
+	}
+	return dfpclock.Now().Sub(*fresh), true
+}
+
+// stale reports whether it is too long ago that the rules were known to be in force.
+func (l *configLoop) stale() bool {
+	age, known := l.age()
+	return !known || age >= l.n.cfg.StaleAfter
 }
 
 // install puts a version of the rules in force. Versions only go forward.
@@ -263,7 +247,7 @@
 	if version <= l.version() {
 		return
 	}
-	l.do(func(s *dfpconfig.State) dfpconfig.Effects { return s.Heard(time.Now(), from, version) })
+	l.do(func(s *dfpconfig.State) dfpconfig.Effects { return s.Heard(dfpclock.Now(), from, version) })
 }
 
 // handle takes a peer's message about the rules. What there is to answer is told.
@@ -272,6 +256,6 @@
 	if err != nil {
 		return dfppeer.Control{}, err
 	}
-	l.do(func(s *dfpconfig.State) dfpconfig.Effects { return s.Receive(time.Now(), l.rnd, from, message) })
+	l.do(func(s *dfpconfig.State) dfpconfig.Effects { return s.Receive(dfpclock.Now(), l.rnd, from, message) })
 	return dfppeer.Control{Topic: msg.Topic}, nil
 }
--- a/internal/vm/dfpnode/dfpnode_egress.go
+++ b/internal/vm/dfpnode/dfpnode_egress.go
@@ -35,6 +35,8 @@
 	Slots int `json:"slots"`
 	// Connections is the number of connections that it accepts.
 	Connections int `json:"connections"`
+	// Instance names this start of the backend server; empty where it does not say.
+	Instance string `json:"instance,omitempty"`
 }
 
 // newEgressServer serves the backend server on this VM: its announcements and
@@ -62,7 +64,7 @@
 		http.Error(w, "announcement: service, address and slots must be given", http.StatusBadRequest)
 		return
 	}
-	n.announce(announced)
+	n.Announce(announced)
 	w.WriteHeader(http.StatusNoContent)
 }
 
--- a/internal/vm/dfpnode/dfpnode_entry.go
+++ b/internal/vm/dfpnode/dfpnode_entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -47,6 +48,17 @@
 	return leave
 }
 
+// AdmitCaller takes a place for a caller's request whose body has not been read. It returns what
+// frees the place, or a refusal.
+func (n *Node) AdmitCaller(in *dfpcaller.Incoming) (leave func(), refusal dfpcall.Outcome) {
+	return n.admitCaller(in)
+}
+
+// ServeCaller runs a caller's request that has a place.
+func (n *Node) ServeCaller(ctx context.Context, in *dfpcaller.Incoming) dfpcall.Outcome {
+	return n.serveCaller(ctx, in)
+}
+
 // admitCaller takes a place for a caller's request before its body is read, so that
 // an organisation's slow or large bodies count against its share of the places.
 func (n *Node) admitCaller(in *dfpcaller.Incoming) (func(), dfpcall.Outcome) {
@@ -87,15 +99,27 @@
 	if rules == nil {
 		return target{}, &dfpcall.NotRun{Reason: dfpcall.ReasonNoRules, RetryAfter: time.Second}
 	}
-	route, found := rules.RouteOf(in.Method, in.Path)
+	route, found := rules.Find(in.Method, in.Host, in.Path)
 	if !found {
-		return target{}, &dfpcall.NotRun{Reason: dfpcall.ReasonNoRoute}
+		return target{}, n.lacks(dfpcall.ReasonNoRoute)
 	}
-	if route.WhenStale == dfprules.Refuse && n.config.stale(time.Now()) {
+	if route.WhenStale == dfprules.Refuse && n.config.stale() {
 		return target{}, &dfpcall.NotRun{Reason: dfpcall.ReasonStale, RetryAfter: time.Second}
 	}
 	organisation, refusal := organisationOf(rules, route, in.Key)
-	return target{rules, route, organisation}, refusal
+	if refusal != nil {
+		return target{}, n.lacks(refusal.Reason)
+	}
+	return target{rules, route, organisation}, nil
+}
+
+// lacks refuses a request for a route or key that the rules in force do not have. Unless they are
+// known to be the newest, a newer version may have it: then the caller may come back.
+func (n *Node) lacks(reason dfpcall.Reason) *dfpcall.NotRun {
+	if age, known := n.config.age(); known && age < n.cfg.AbsentAfter {
+		return &dfpcall.NotRun{Reason: reason}
+	}
+	return &dfpcall.NotRun{Reason: dfpcall.ReasonStale, RetryAfter: time.Second}
 }
 
 // serveRoute runs a request whose body has been read. What the rules say is looked up
@@ -110,8 +134,8 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeoutOf(t.route, in))
 	defer cancel()
-	req := n.newRootRequest(t.rules, t.route, in, t.organisation)
-	return n.serveWithinPolicy(req, t.route.Method+" "+t.route.Pattern, in.IdempotencyKey, func() dfpcall.Outcome {
+	req := n.newRootRequest(t, in)
+	return n.serveWithinPolicy(req, t.route.ID(), in.IdempotencyKey, func() dfpcall.Outcome {
 		return n.serveWithinRate(ctx, req, in.IdempotencyKey)
 	})
 }
@@ -167,23 +191,46 @@
 	return route.Deadline
 }
 
-func (n *Node) newRootRequest(rules *dfprules.Ruleset, route *dfprules.Route, in *dfpcaller.Incoming, organisation string) *dfpcall.Request {
+func (n *Node) newRootRequest(t target, in *dfpcaller.Incoming) *dfpcall.Request {
 	root := n.newID()
+	name := t.route.ServiceAt(spreadPoint(root.Counter))
 	budget := 0
-	if service, ok := rules.Service(route.Service); ok {
+	if service, ok := t.rules.Service(name); ok {
 		budget = service.Retries
 	}
 	return &dfpcall.Request{
-		Root:         root,
-		Organisation: organisation,
-		Importance:   route.Importance,
-		Cohort:       dfpcall.CohortOf(root),
-		Service:      route.Service,
-		Idempotent:   route.Idempotent,
-		Budget:       budget,
-		Method:       in.Method,
-		Path:         in.PathAndQuery,
-		Header:       in.Header,
-		Body:         in.Body,
+		Root:          root,
+		Organisation:  t.organisation,
+		Importance:    t.importance(),
+		Cohort:        dfpcall.CohortOf(root),
+		Service:       name,
+		Idempotent:    t.route.Idempotent,
+		Budget:        budget,
+		Attempts:      t.route.Attempts,
+		Objective:     t.route.Objective,
+		CallerID:      in.CallerID,
+		CallerService: n.cfg.CallerService,
+		Host:          in.Host,
+		Method:        in.Method,
+		Path:          in.PathAndQuery,
+		Header:        in.Header,
+		Body:          in.Body,
+	}
+}
+
+// spreadPoint maps successive numbers evenly onto [0, 1): multiples of the golden ratio modulo
+// 1 leave no gap that chance would (Knuth, The Art of Computer Programming, volume 3, 6.4).
+func spreadPoint(i uint64) float64 {
+	const golden = 0.6180339887498949
+	_, part := math.Modf(float64(i%(1<<32)) * golden)
+	return part
+}
+
+// importance is the organisation's where the rules rank organisations, else the route's. Open
+// routes keep theirs.
+func (t target) importance() dfpcall.Importance {
+	if o, ok := t.rules.Organisation(t.organisation); ok && o.Rank != nil {
+		return dfpcall.Importance(max(int(dfpcall.High)-*o.Rank, int(dfpcall.Low)))
 	}
+	return t.route.Importance
 }
--- a/internal/vm/dfpnode/dfpnode_guard.go
+++ b/internal/vm/dfpnode/dfpnode_guard.go
@@ -84,12 +84,15 @@
 	}
 }
 
-// announce takes in what the backend server says of itself.
-func (n *Node) announce(announced Announcement) {
+// Announce takes in what the backend server says of itself. It has to be repeated within
+// backendLease.
+func (n *Node) Announce(announced Announcement) {
 	g := &n.guard
 	g.mu.Lock()
-	fresh := g.backend.Service != announced.Service || g.backend.Address != announced.Address ||
-		g.backend.Slots != announced.Slots || g.expires.IsZero()
+	fresh := g.backend != announced || g.expires.IsZero()
+	if g.backend.Instance != announced.Instance && !n.stopping.Load() {
+		g.draining = false
+	}
 	g.backend = announced
 	g.expires = time.Now().Add(backendLease)
 	if fresh && !g.draining {
@@ -104,6 +107,7 @@
 	}).Info("backend server announced")
 	n.roster.changeSelf(func(vm *dfpvm.VM) {
 		vm.Service, vm.BackendAddress, vm.Slots = announced.Service, announced.Address, announced.Slots
+		vm.Draining = g.isDraining()
 	})
 }
 
@@ -121,6 +125,28 @@
 	}
 }
 
+func (g *guardGate) isDraining() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.draining
+}
+
+// withdraw takes back what the backend server said of itself: it does not answer. Its next
+// announcement brings it back.
+func (n *Node) withdraw(instance string) {
+	g := &n.guard
+	g.mu.Lock()
+	gone := !g.expires.IsZero() && g.backend.Instance == instance
+	if gone {
+		g.expires = time.Time{}
+	}
+	g.mu.Unlock()
+	if gone {
+		n.cfg.Log.WithField("instance", instance).Warn("backend server is gone")
+		n.roster.changeSelf(func(vm *dfpvm.VM) { vm.Service = "" })
+	}
+}
+
 func (g *guardGate) drain() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -164,26 +190,30 @@
 	n.metrics.guardArrived.Add(1)
 	ctx, cancel := context.WithTimeout(ctx, req.Timeout)
 	defer cancel()
-	handle, address, refusal := n.guard.admit(ctx, req)
+	handle, backend, refusal := n.guard.admit(ctx, req)
 	if refusal != nil {
 		n.metrics.guardRefused.Add(1)
 		return refusal
 	}
-	return n.runAdmitted(ctx, req, handle, address)
+	return n.runAdmitted(ctx, req, handle, backend)
 }
 
-func (n *Node) runAdmitted(ctx context.Context, req *dfpcall.Request, handle dfpguard.Handle, address string) dfpcall.Outcome {
+func (n *Node) runAdmitted(ctx context.Context, req *dfpcall.Request, handle dfpguard.Handle, backend Announcement) dfpcall.Outcome {
+	req.Instance = backend.Instance
 	token, running := n.parents.add(ctx, req)
 	started := time.Now()
 	if deadline, ok := ctx.Deadline(); ok {
 		req.Timeout = time.Until(deadline)
 	}
-	out := n.backend.Run(ctx, address, req, token)
+	out := n.backend.Run(ctx, backend.Address, req, token)
 	n.parents.remove(token)
 	now := time.Now()
 	nestedFailed := running.close(out, n.guard.load().Level())
 	n.guard.finish(now, handle, now.Sub(started), verdictOn(out, nestedFailed))
 	n.metrics.guardRan.Add(1)
+	if notRun, ok := out.(*dfpcall.NotRun); ok && notRun.Reason == dfpcall.ReasonNoBackendServer {
+		n.withdraw(backend.Instance)
+	}
 	return out
 }
 
@@ -219,29 +249,29 @@
 	return runFailed
 }
 
-// admit waits for the guard's verdict. It returns the address of the backend
-// server, or why the request may not run.
-func (g *guardGate) admit(ctx context.Context, req *dfpcall.Request) (dfpguard.Handle, string, *dfpcall.NotRun) {
+// admit waits for the guard's verdict. It returns the backend server as it was announced, or why
+// the request may not run.
+func (g *guardGate) admit(ctx context.Context, req *dfpcall.Request) (dfpguard.Handle, Announcement, *dfpcall.NotRun) {
 	refuse := func(reason dfpcall.Reason, after time.Duration) *dfpcall.NotRun {
 		return &dfpcall.NotRun{Reason: reason, RetryAfter: after, Budget: req.Budget, Level: g.load().Level()}
 	}
 	g.mu.Lock()
 	if g.backend.Service != req.Service || g.expires.IsZero() {
 		g.mu.Unlock()
-		return 0, "", refuse(dfpcall.ReasonNoBackendServer, time.Second)
+		return 0, Announcement{}, refuse(dfpcall.ReasonNoBackendServer, time.Second)
 	}
 	g.next++
-	handle, address := g.next, g.backend.Address
+	handle, backend := g.next, g.backend
 	verdict, effects := g.guard.Arrive(time.Now(), ticketOf(ctx, handle, req))
 	g.deliver(effects)
 	switch v := verdict.(type) {
 	case *dfpguard.Start:
 		g.running++
 		g.mu.Unlock()
-		return handle, address, nil
+		return handle, backend, nil
 	case *dfpguard.Refuse:
 		g.mu.Unlock()
-		return 0, "", refuse(v.Reason, v.RetryAfter)
+		return 0, Announcement{}, refuse(v.Reason, v.RetryAfter)
 	}
 	verdictOf := make(waiter, 1)
 	g.waiting[handle] = verdictOf
@@ -249,12 +279,12 @@
 	select {
 	case refusal := <-verdictOf:
 		if refusal != nil {
-			return 0, "", refuse(refusal.Reason, refusal.RetryAfter)
+			return 0, Announcement{}, refuse(refusal.Reason, refusal.RetryAfter)
 		}
-		return handle, address, nil
+		return handle, backend, nil
 	case <-ctx.Done():
 		g.withdraw(handle, verdictOf)
-		return 0, "", refuse(reasonOf(ctx), 0)
+		return 0, Announcement{}, refuse(reasonOf(ctx), 0)
 	}
 }
 
--- a/internal/vm/dfpnode/dfpnode_once.go
+++ b/internal/vm/dfpnode/dfpnode_once.go
@@ -115,7 +115,7 @@
 // once runs a request at most once for its idempotency key. Idempotent requests and
 // those without a key run at once.
 func (l *claimsLoop) once(ctx context.Context, req *dfpcall.Request, key string, run func(context.Context) dfpcall.Outcome) dfpcall.Outcome {
-	if req.Idempotent || key == "" {
+	if req.Idempotent || key == "" || l.n.cfg.NoClaims {
 		return run(ctx)
 	}
 	call := l.newCall(req, key)
--- a/internal/vm/dfpnode/dfpnode_operator.go
+++ b/internal/vm/dfpnode/dfpnode_operator.go
@@ -126,7 +126,7 @@
 	state.VM, state.Roster = n.roster.roster.Self(), n.roster.roster.Members()
 	n.roster.mu.Unlock()
 	state.Backend, state.Guard = n.guard.state()
-	state.Rates = n.rates.state()
+	state.Rates = n.rates.dump()
 	state.Claims = n.claims.state()
 	return state
 }
--- /dev/null
+++ b/internal/vm/dfpnode/dfpnode_quota.go
@@ -0,0 +1,129 @@
+package dfpnode
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"dragonflyport/internal/contract/dfpcall"
+	"dragonflyport/internal/contract/dfprules"
+	"dragonflyport/internal/link/dfppeer"
+	"dragonflyport/internal/vm/dfpclock"
+	"dragonflyport/internal/vm/dfpvm"
+	"dragonflyport/internal/zone/dfpquota"
+	"dragonflyport/internal/zone/dfproster"
+)
+
+// quotaLoop keeps this node's part in the organisations' rates by dfpquota.
+type quotaLoop struct {
+	n *Node
+
+	mu     sync.Mutex // Held for a decision at a time.
+	keeper *dfpquota.Keeper
+}
+
+func newQuotaLoop(n *Node) *quotaLoop {
+	cfg := *n.cfg.Quota
+	cfg.Self = n.cfg.VM.Address
+	return &quotaLoop{n: n, keeper: dfpquota.New(dfpclock.Now(), cfg)}
+}
+
+// do makes one decision and sends what it asks for.
+func (l *quotaLoop) do(decide func(now time.Time, k *dfpquota.Keeper) []dfpquota.Send) {
+	l.mu.Lock()
+	sends := decide(dfpclock.Now(), l.keeper)
+	l.mu.Unlock()
+	for _, send := range sends {
+		l.n.tell(send.To, dfppeer.TopicShare, send.Message)
+	}
+}
+
+func (l *quotaLoop) take(_ context.Context, organisation string) (func(), *dfpcall.NotRun) {
+	if organisation == "" || l.n.cfg.NoRates {
+		return func() {}, nil
+	}
+	l.mu.Lock()
+	ok, retryAfter := l.keeper.Take(dfpclock.Now(), organisation)
+	l.mu.Unlock()
+	if !ok {
+		jitter := time.Duration(rand.Float64() * retryJitter * float64(retryAfter))
+		return nil, &dfpcall.NotRun{Reason: dfpcall.ReasonRate, RetryAfter: retryAfter + jitter}
+	}
+	return func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.keeper.GiveBack(dfpclock.Now(), organisation)
+	}, nil
+}
+
+// run ticks the keeper until the node ends.
+func (l *quotaLoop) run() error {
+	ticker := time.NewTicker(dfpquota.TickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-l.n.life.Done():
+			return nil
+		case <-ticker.C:
+			fleet := l.n.roster.fleet()
+			l.do(func(now time.Time, k *dfpquota.Keeper) []dfpquota.Send {
+				k.SetFleet(now, fleet)
+				return k.Tick(now)
+			})
+		}
+	}
+}
+
+func (l *quotaLoop) setRules(_ uint64, rules *dfprules.Ruleset) {
+	organisations := make([]dfpquota.Organisation, 0, len(rules.Organisations))
+	for _, o := range rules.Organisations {
+		organisations = append(organisations, dfpquota.Organisation{Name: o.Name, Rate: o.Rate, Burst: o.Burst})
+	}
+	l.do(func(now time.Time, k *dfpquota.Keeper) []dfpquota.Send {
+		k.SetRules(now, organisations)
+		return nil
+	})
+}
+
+func (l *quotaLoop) handle(from string, msg dfppeer.Control) (dfppeer.Control, error) {
+	body, err := dfppeer.Decode[dfpquota.Message](msg)
+	if err != nil {
+		return dfppeer.Control{}, err
+	}
+	l.do(func(now time.Time, k *dfpquota.Keeper) []dfpquota.Send { return k.Handle(now, from, body) })
+	return dfppeer.Control{Topic: msg.Topic}, nil
+}
+
+// The fleet is read from the roster at each tick, so that news of peers needs nothing here.
+func (*quotaLoop) setPeers([]dfpvm.VM) {}
+
+func (*quotaLoop) setUnreachable(string) {}
+
+// stop has nothing to hand over: what a node may use lapses by itself.
+func (*quotaLoop) stop(context.Context) {}
+
+func (l *quotaLoop) dump() any {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.keeper.State(dfpclock.Now())
+}
+
+// fleet returns the number of nodes that may take callers' requests, and the one to which the
+// nodes report: of those that answer, the first by address, so that all that see the same fleet
+// report to the same node.
+func (l *rosterLoop) fleet() dfpquota.Fleet {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var fleet dfpquota.Fleet
+	for _, m := range l.roster.Members() {
+		if m.VM.Left || m.State == dfproster.StateDead {
+			continue
+		}
+		fleet.Nodes++
+		if m.State == dfproster.StateUp && !m.VM.Draining && fleet.Allotter == "" {
+			fleet.Allotter = m.VM.Address
+		}
+	}
+	return fleet
+}
--- a/internal/vm/dfpnode/dfpnode_rates.go
+++ b/internal/vm/dfpnode/dfpnode_rates.go
@@ -50,6 +50,33 @@
 	once    sync.Once
 }
 
+// organisationRates keeps the organisations' rates. Its methods are safe for concurrent use.
+type organisationRates interface {
+	// take takes a token of an organisation's rate. It returns a function that gives the token
+	// back, or a refusal. The organisation is empty on open routes.
+	take(ctx context.Context, organisation string) (func(), *dfpcall.NotRun)
+	setPeers(vms []dfpvm.VM)
+	// setUnreachable says that a connection to address was refused.
+	setUnreachable(address string)
+	setRules(version uint64, rules *dfprules.Ruleset)
+	// handle takes a peer's message.
+	handle(from string, msg dfppeer.Control) (dfppeer.Control, error)
+	run() error
+	// stop hands over what others need; it returns when that is done or ctx ends.
+	stop(ctx context.Context)
+	// dump returns a dump for operators.
+	dump() any
+}
+
+func newRates(n *Node) organisationRates {
+	if n.cfg.Quota != nil {
+		return newQuotaLoop(n)
+	}
+	l := new(ratesLoop)
+	l.init(n)
+	return l
+}
+
 func (l *ratesLoop) init(n *Node) {
 	l.n = n
 	l.share = dfpshare.New(dfpshare.Config{Self: n.cfg.VM, Seed: n.cfg.Seed}, time.Now())
@@ -162,8 +189,6 @@
 	}
 }
 
-// take takes a token of an organisation's rate. It returns a function that gives
-// the token back, or a refusal. The organisation is empty on open routes.
 func (l *ratesLoop) take(ctx context.Context, organisation string) (func(), *dfpcall.NotRun) {
 	if organisation == "" || l.n.cfg.NoRates {
 		return func() {}, nil
@@ -278,8 +303,7 @@
 	return dfppeer.Control{Topic: msg.Topic}, nil
 }
 
-// state returns a dump for operators.
-func (l *ratesLoop) state() dfpshare.State {
+func (l *ratesLoop) dump() any {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.share.State(time.Now())
--- /dev/null
+++ b/internal/vm/dfpnode/dfpnode_repeats.go
@@ -0,0 +1,52 @@
+package dfpnode
+
+import (
+	"sync"
+	"time"
+
+	"dragonflyport/internal/contract/dfpretry"
+)
+
+// fleetRepeats holds this node's budget of repeats for each service.
+type fleetRepeats struct {
+	cfg dfpretry.FleetConfig
+
+	mu       sync.Mutex
+	services map[string]*dfpretry.FleetBudget
+}
+
+// newFleetRepeats returns nil, which bounds nothing, without a configuration.
+func newFleetRepeats(cfg *dfpretry.FleetConfig) *fleetRepeats {
+	if cfg == nil {
+		return nil
+	}
+	return &fleetRepeats{cfg: *cfg, services: map[string]*dfpretry.FleetBudget{}}
+}
+
+func (r *fleetRepeats) count(service string) {
+	if r == nil {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.budget(service).Count(time.Now())
+}
+
+func (r *fleetRepeats) take(service string, nodes int) bool {
+	if r == nil {
+		return true
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.budget(service).Take(time.Now(), nodes)
+}
+
+// budget returns a service's budget. r.mu must be held.
+func (r *fleetRepeats) budget(service string) *dfpretry.FleetBudget {
+	b := r.services[service]
+	if b == nil {
+		b = dfpretry.NewFleetBudget(r.cfg)
+		r.services[service] = b
+	}
+	return b
+}
--- a/internal/vm/dfpnode/dfpnode_roster.go
+++ b/internal/vm/dfpnode/dfpnode_roster.go
@@ -83,7 +83,9 @@
 	vms := l.vms()
 	l.n.applyVMs(vms)
 	l.n.rates.setPeers(vms)
-	l.n.claims.setPeers(vms)
+	if !l.n.cfg.NoClaims {
+		l.n.claims.setPeers(vms)
+	}
 }
 
 // applyVMs gives the router the VMs and those that the rules drain.
--- a/internal/vm/dfpnode/dfpnode_route.go
+++ b/internal/vm/dfpnode/dfpnode_route.go
@@ -18,12 +18,20 @@
 // another one where that is safe and the chain's budget allows it.
 func (n *Node) dispatch(ctx context.Context, req *dfpcall.Request) dfpcall.Outcome {
 	var tried []string
+	offered := 0
+	n.repeats.count(req.Service)
 	for attempt := 1; ; attempt++ {
 		out, address := n.attempt(ctx, req, tried)
 		decision, ok := dfpretry.May(out, req.Idempotent, dfpretry.BudgetOf(out), attempt).(*dfpretry.Retry)
 		if !ok || address == "" || ctx.Err() != nil {
 			return out
 		}
+		if dfpretry.Offered(out) {
+			offered++
+			if offered == req.Attempts || !n.repeats.take(req.Service, n.router.Nodes()) {
+				return out
+			}
+		}
 		n.metrics.retries.Add(1)
 		req.Budget = decision.Budget
 		tried = append(tried, address)
--- a/internal/vm/dfpnode/dfpnode_run.go
+++ b/internal/vm/dfpnode/dfpnode_run.go
@@ -14,10 +14,6 @@
 	"dragonflyport/internal/link/dfppeer"
 )
 
-// goodbyeTime is how long a stopping node still takes requests, to answer them with
-// the word that their connection closes.
-const goodbyeTime = 500 * time.Millisecond
-
 // Limits of the listeners other than the callers'.
 const (
 	// maxHeaderBytes is above the callers' bound, as nested calls carry more.
@@ -34,28 +30,81 @@
 	if err := checkLoopback(n.cfg.Egress); err != nil {
 		return err
 	}
-	linkServer := n.newLinkServer()
 	callers := n.callers.NewServer()
 	egress := n.newEgressServer()
 	operator := n.newOperatorServer()
+	return n.serveUntil(ctx, servers{
+		callers: []bound{{callers, n.open.callers.bound(callers, n.cfg.Callers, n.cfg.MaxCallers)}},
+		others: []bound{
+			{egress, n.open.egress.bound(egress, n.cfg.Egress, maxLocalConnections)},
+			{operator, n.open.operator.bound(operator, n.cfg.Operator, maxLocalConnections)},
+		},
+		leave: n.callers.Leave,
+	})
+}
+
+// Interface is another interface than the node's own to callers, to the backend server and to
+// those who look after the node.
+type Interface struct {
+	// Callers serves requests; at a graceful shutdown it ends first.
+	Callers Server
+	// Others serve all else, until the process ends.
+	Others []Server
+	// Leave is called when the shutdown begins: from then on each answer has to be its
+	// connection's last.
+	Leave func()
+}
+
+// Server is an HTTP server and where it listens.
+type Server struct {
+	HTTP     *http.Server
+	Listener net.Listener
+}
+
+// RunWith is Run with another interface in place of the node's own. Config.Callers, Egress and
+// Operator are not used.
+func (n *Node) RunWith(ctx context.Context, with Interface) error {
+	all := servers{leave: with.Leave}
+	all.callers = []bound{{with.Callers.HTTP, n.open.callers.bound(with.Callers.HTTP, with.Callers.Listener, n.cfg.MaxCallers)}}
+	for _, s := range with.Others {
+		all.others = append(all.others, bound{s.HTTP, s.Listener})
+	}
+	return n.serveUntil(ctx, all)
+}
 
-	failed := make(chan struct{}, 4)
-	n.serve(failed, linkServer, n.open.link.bound(linkServer, n.cfg.Link, maxLinkConnections))
-	n.serve(failed, callers, n.open.callers.bound(callers, n.cfg.Callers, n.cfg.MaxCallers))
-	n.serve(failed, egress, n.open.egress.bound(egress, n.cfg.Egress, maxLocalConnections))
-	n.serve(failed, operator, n.open.operator.bound(operator, n.cfg.Operator, maxLocalConnections))
+// servers are those of one run, without the links'.
+type servers struct {
+	callers []bound
+	others  []bound
+	leave   func()
+}
+
+// bound is a server with its listener.
+type bound struct {
+	http     *http.Server
+	listener net.Listener
+}
+
+func (n *Node) serveUntil(ctx context.Context, all servers) error {
+	link := n.newLinkServer()
+	all.others = append(all.others, bound{link, n.open.link.bound(link, n.cfg.Link, maxLinkConnections)})
+	failed := make(chan struct{}, len(all.callers)+len(all.others))
+	addresses := log.Fields{"address": n.cfg.VM.Address, "zone": n.cfg.VM.Zone, "region": n.cfg.VM.Region}
+	for _, s := range all.callers {
+		addresses["callers"] = s.listener.Addr().String()
+		n.serve(failed, s.http, s.listener)
+	}
+	for _, s := range all.others {
+		n.serve(failed, s.http, s.listener)
+	}
 	n.startLoops()
-	n.cfg.Log.WithFields(log.Fields{
-		"address": n.cfg.VM.Address, "zone": n.cfg.VM.Zone, "region": n.cfg.VM.Region,
-		"callers": n.cfg.Callers.Addr().String(), "egress": n.cfg.Egress.Addr().String(),
-		"operator": n.cfg.Operator.Addr().String(),
-	}).Info("node started")
+	n.cfg.Log.WithFields(addresses).Info("node started")
 
 	select {
 	case <-ctx.Done():
 	case <-failed:
 	}
-	n.shutdown(callers, egress, operator, linkServer)
+	n.shutdown(all)
 	return n.group.Wait()
 }
 
@@ -100,7 +149,9 @@
 	n.group.Go(n.roster.run)
 	n.group.Go(n.config.run)
 	n.group.Go(n.rates.run)
-	n.group.Go(n.claims.run)
+	if !n.cfg.NoClaims {
+		n.group.Go(n.claims.run)
+	}
 	n.group.Go(n.guard.run)
 }
 
@@ -113,24 +164,28 @@
 //     the egress, and the callers' requests in progress end.
 //  4. What others need is handed over: slots of the rates and claims.
 //  5. The VM is announced as gone, and the links are closed.
-func (n *Node) shutdown(callers, egress, operator, link *http.Server) {
+func (n *Node) shutdown(all servers) {
 	ctx, cancel := context.WithTimeout(context.Background(), n.cfg.DrainTimeout)
 	defer cancel()
 	n.cfg.Log.Info("graceful shutdown begins")
 	n.stopping.Store(true)
 	n.Drain()
-	n.sayGoodbye(ctx)
-	if err := callers.Shutdown(ctx); err != nil {
-		n.cfg.Log.WithError(err).Warn("callers' requests were cut")
+	n.sayGoodbye(ctx, all.leave)
+	for _, s := range all.callers {
+		if err := s.http.Shutdown(ctx); err != nil {
+			n.cfg.Log.WithError(err).Warn("callers' requests were cut")
+		}
 	}
 	n.guard.waitIdle(ctx)
 	n.rates.stop(ctx)
-	n.claims.stop(ctx)
+	if !n.cfg.NoClaims {
+		n.claims.stop(ctx)
+	}
 	n.roster.leave(ctx)
 	n.mesh.Close(ctx)
-	for _, server := range []*http.Server{egress, operator, link} {
+	for _, s := range all.others {
 		// What is still open now is idle or belongs to requests past the drain timeout.
-		_ = server.Close()
+		_ = s.http.Close()
 	}
 	n.backend.Close()
 	n.end()
@@ -138,13 +193,13 @@
 }
 
 // sayGoodbye lets callers on kept-alive connections hear that this node stops.
-func (n *Node) sayGoodbye(ctx context.Context) {
+func (n *Node) sayGoodbye(ctx context.Context, leave func()) {
 	if n.cfg.NoGoodbye {
 		return
 	}
-	n.callers.Leave()
+	leave()
 	select {
 	case <-ctx.Done():
-	case <-time.After(goodbyeTime):
+	case <-time.After(n.cfg.GoodbyeTime):
 	}
 }
--- a/internal/zone/dfproute/router.go
+++ b/internal/zone/dfproute/router.go
@@ -24,6 +24,8 @@
 type snapshot struct {
 	services  map[string]*service
 	byAddress map[string]*entry
+	// nodes is the number of VMs that have not left.
+	nodes int
 }
 
 // service lists the VMs of one service that take new work, by distance: those
@@ -71,6 +73,9 @@
 	next := &snapshot{services: make(map[string]*service), byAddress: make(map[string]*entry, len(vms))}
 	region := 0
 	for _, vm := range vms {
+		if !vm.Left {
+			next.nodes++
+		}
 		if vm.Region == r.cfg.Region && !vm.Left {
 			region++
 		}
@@ -85,6 +90,9 @@
 	r.snapshot.Store(next)
 }
 
+// Nodes returns the number of VMs that have not left.
+func (r *Router) Nodes() int { return r.snapshot.Load().nodes }
+
 func (r *Router) place(next, old *snapshot, vm dfpvm.VM, drained bool) {
 	s, ok := next.services[vm.Service]
 	if !ok {
