--- a/internal/zone/dfpquota/allotter.go
+++ b/internal/zone/dfpquota/allotter.go
@@ -18,10 +18,10 @@
 	given []given
 }
 
-// given is what one node got beyond its floor, by organisation.
+// given is what one node got, by organisation.
 type given struct {
-	at    time.Time
-	extra map[string]float64
+	at        time.Time
+	perSecond map[string]float64
 }
 
 func newAllotter() allotter { return allotter{reporters: map[string]*reporter{}} }
@@ -43,14 +43,14 @@
 		return Message{}, false
 	}
 	answer := Message{Nonce: m.Nonce}
-	extra := make(map[string]float64, len(buckets))
+	perSecond := make(map[string]float64, len(buckets))
 	for name, b := range buckets {
 		if share := a.share(from, b.organisation, nodes); share > 0 {
-			extra[name] = share
+			perSecond[name] = share
 			answer.Demands = append(answer.Demands, Demand{name, share})
 		}
 	}
-	r.given = append(r.given, given{now, extra})
+	r.given = append(r.given, given{now, perSecond})
 	return answer, true
 }
 
@@ -80,17 +80,18 @@
 	return now.Sub(a.majoritySince) >= AllotmentLife
 }
 
-// share returns what a node may use of a rate beyond its floor. First each node's demand is met,
-// with headroom, in proportion if there is not enough; what is left over is divided evenly.
+// share returns what a node may use of a rate. The nodes' demands are met first, with headroom and
+// in proportion if there is not enough; what is left over is divided evenly.
 func (a *allotter) share(from string, o Organisation, nodes int) float64 {
 	if o.Rate <= 0 {
 		return 0
 	}
-	floor := FloorPart * o.Rate / float64(nodes)
-	pool := o.Rate - floor*float64(max(nodes, len(a.reporters)))
+	reporters := float64(len(a.reporters))
+	silent := max(0, float64(nodes)-reporters)
+	available := o.Rate - silent*FloorPart*o.Rate/float64(nodes)
 	var wanted, out, own float64
 	for address, r := range a.reporters {
-		want := max(0, r.demands[o.Name]*headroom-floor)
+		want := r.demands[o.Name] * headroom
 		wanted += want
 		if address == from {
 			own = want
@@ -98,20 +99,20 @@
 			out += r.outstanding(o.Name)
 		}
 	}
-	share := own
-	if wanted > pool {
-		share = own * pool / wanted
+	spare := sparePart * available
+	if wanted <= available-spare {
+		spare = available - wanted
 	} else {
-		share += (pool - wanted) / float64(max(nodes, len(a.reporters)))
+		own *= (available - spare) / wanted
 	}
-	return max(0, min(share, pool-out))
+	return max(0, min(own+spare/reporters, available-out))
 }
 
-// outstanding returns the most that a node may be using beyond its floor.
+// outstanding returns the most that a node may be using.
 func (r *reporter) outstanding(organisation string) float64 {
 	most := 0.0
 	for _, g := range r.given {
-		most = max(most, g.extra[organisation])
+		most = max(most, g.perSecond[organisation])
 	}
 	return most
 }
--- a/internal/zone/dfpquota/dfpquota.go
+++ b/internal/zone/dfpquota/dfpquota.go
@@ -1,16 +1,17 @@
 // Package dfpquota keeps each organisation within its rate over the whole fleet, without a
 // coordination service and without asking anyone on the path of a request.
 //
-// Every node always holds a floor, an equal part of FloorPart of each rate. The rest is
-// allotted by demand: each node reports what it is asked for to one node, the allotter,
-// which every node picks by itself from the roster, and gets back its allotment for a
-// limited time. A node whose allotment has lapsed falls back to its floor.
+// Each rate is allotted by demand: each node reports what it is asked for to one node, the
+// allotter, which every node picks by itself from the roster, and gets back its allotment for a
+// limited time. A node without an allotment has a floor, an equal part of FloorPart of the rate.
 //
 // The sum of what nodes may use stays within the rate because
 //
-//   - the allotter keeps the floor of every node in the fleet aside, heard or not;
+//   - the allotter keeps the floor of every node aside that does not report to it;
 //   - it counts an allotment as out until it has lapsed by its own clock, which began later
 //     than the holder's;
+//   - a node whose allotment has lapsed goes on with the smaller of it and its floor for
+//     AllotmentLife, after which what others had of its floor has lapsed, too;
 //   - a report binds its sender to one allotter: a node that reports to another one first drops
 //     what it holds, so that of two allotters at most one is heard by a majority of the fleet;
 //   - an allotter gives nothing until it has been heard by a majority for AllotmentLife, after
@@ -42,9 +43,12 @@
 	ReportInterval = 750 * time.Millisecond
 	// AllotmentLife is how long an allotment may be used, counted from when its report was sent.
 	AllotmentLife = 2500 * time.Millisecond
-	// FloorPart is the part of each rate that is divided evenly and needs no allotter. The
-	// rest is what a node can have beyond its even part.
-	FloorPart = 0.5
+	// FloorPart is the part of each rate that nodes without an allotment divide evenly. The rest is
+	// left for a fleet whose size they know only about.
+	FloorPart = 0.8
+	// sparePart is the part of a rate that is divided evenly among the nodes however much some are
+	// asked for, so that a node's first requests in an organisation's name find tokens.
+	sparePart = 0.05
 	// demandSpan is the time constant of the demand that a node reports.
 	demandSpan = 1500 * time.Millisecond
 	// headroom is how much more than its demand a node is allotted first, so that chance does not
@@ -98,7 +102,7 @@
 	Nonce uint64 `cbor:"1,keyasint"`
 	// Report says that this is a report.
 	Report bool `cbor:"2,keyasint,omitempty"`
-	// Demands are the report's, or in the answer what the node may use beyond its floor.
+	// Demands are the report's, or in the answer what the node may use.
 	Demands []Demand `cbor:"3,keyasint,omitempty"`
 }
 
--- a/internal/zone/dfpquota/keeper.go
+++ b/internal/zone/dfpquota/keeper.go
@@ -28,9 +28,9 @@
 	organisation Organisation
 	tokens       float64
 	at           time.Time
-	// extra is what the node may use beyond its floor, a second.
-	extra  float64
-	demand demand
+	// allotted is what the node may use, a second, until Keeper.heldUntil.
+	allotted float64
+	demand   demand
 }
 
 // New returns the keeper of a node that has just started.
@@ -48,7 +48,8 @@
 	for _, o := range organisations {
 		b := k.buckets[o.Name]
 		if b == nil {
-			b = &bucket{at: now}
+			// Until the next allotment it has its floor, as others count on.
+			b = &bucket{at: now, allotted: k.floor(o)}
 		}
 		k.refill(now, b)
 		b.organisation = o
@@ -69,7 +70,7 @@
 	k.refillAll(now)
 	k.fleet = fleet
 	if moved {
-		k.drop()
+		k.drop(now)
 		k.sent = map[uint64]time.Time{}
 		k.nextReport = now
 	}
@@ -100,7 +101,7 @@
 }
 
 func (k *Keeper) retryAfter(b *bucket) time.Duration {
-	seconds := (1 - b.tokens) / math.Max(k.rate(b), math.SmallestNonzeroFloat32)
+	seconds := (1 - b.tokens) / math.Max(k.rate(b.at, b), math.SmallestNonzeroFloat32)
 	wait := time.Duration(math.Min(seconds, maxRetryAfter.Seconds()) * float64(time.Second))
 	return max(wait, minRetryAfter)
 }
@@ -110,7 +111,18 @@
 	return FloorPart * o.Rate / float64(k.fleet.Nodes)
 }
 
-func (k *Keeper) rate(b *bucket) float64 { return k.floor(b.organisation) + b.extra }
+// rate is what the node may use of a rate at a time.
+func (k *Keeper) rate(now time.Time, b *bucket) float64 {
+	floor := k.floor(b.organisation)
+	switch {
+	case now.Before(k.heldUntil):
+		return b.allotted
+	case now.Before(k.heldUntil.Add(AllotmentLife)):
+		return min(b.allotted, floor)
+	default:
+		return floor
+	}
+}
 
 // capacity is the number of tokens that a bucket holds: the nodes' together are the burst and a
 // part of the tolerance, but a node can always save up one.
@@ -119,21 +131,16 @@
 	return max(1, (o.Burst+slackPart*tolerance)/float64(k.fleet.Nodes))
 }
 
-// refill adds the tokens since the last time, at the allotted rate until that lapsed.
+// refill adds the tokens since the last time. What came while the allotment lapsed counts by the
+// smaller rate.
 func (k *Keeper) refill(now time.Time, b *bucket) {
 	elapsed := now.Sub(b.at).Seconds()
 	if elapsed <= 0 {
 		return
 	}
-	tokens := k.floor(b.organisation) * elapsed
-	if held := min(now.Sub(b.at), k.heldUntil.Sub(b.at)).Seconds(); held > 0 {
-		tokens += b.extra * held
-	}
-	if !now.Before(k.heldUntil) {
-		b.extra = 0
-	}
+	rate := min(k.rate(b.at, b), k.rate(now, b))
 	b.at = now
-	b.tokens = min(b.tokens+tokens, k.capacity(b.organisation))
+	b.tokens = min(b.tokens+rate*elapsed, k.capacity(b.organisation))
 }
 
 func (k *Keeper) refillAll(now time.Time) {
@@ -143,11 +150,10 @@
 }
 
 // drop gives the allotment in use up.
-func (k *Keeper) drop() {
-	for _, b := range k.buckets {
-		b.extra = 0
+func (k *Keeper) drop(now time.Time) {
+	if now.Before(k.heldUntil) {
+		k.heldUntil = now
 	}
-	k.heldUntil = time.Time{}
 }
 
 // Tick sends the report that is due.
@@ -209,11 +215,13 @@
 	}
 	k.refillAll(now)
 	delete(k.sent, m.Nonce)
-	k.drop()
 	k.heldNonce, k.heldUntil = m.Nonce, sentAt.Add(AllotmentLife)
+	for _, b := range k.buckets {
+		b.allotted = 0
+	}
 	for _, d := range m.Demands {
 		if b := k.buckets[d.Organisation]; b != nil {
-			b.extra = max(0, d.PerSecond)
+			b.allotted = max(0, d.PerSecond)
 		}
 	}
 }
@@ -224,7 +232,7 @@
 	for name, b := range k.buckets {
 		k.refill(now, b)
 		s.Organisations = append(s.Organisations, OrganisationState{
-			Name: name, PerSecond: k.rate(b), Demand: b.demand.perSecond(now), Tokens: b.tokens,
+			Name: name, PerSecond: k.rate(now, b), Demand: b.demand.perSecond(now), Tokens: b.tokens,
 		})
 	}
 	sort.Slice(s.Organisations, func(i, j int) bool { return s.Organisations[i].Name < s.Organisations[j].Name })
