--- a/internal/contract/dfpretry/fleet.go
+++ b/internal/contract/dfpretry/fleet.go
@@ -14,9 +14,9 @@
 const (
 	// fleetSlices is the number of parts in which a window is counted.
 	fleetSlices = 10
-	// fleetPart is the part of the bound that nodes use by themselves. The rest is left for calls
-	// that backend servers make again because the request around them was repeated.
-	fleetPart = 0.7
+	// fleetPart is the part of the bound that nodes use by themselves. The calls that a backend server
+	// makes for a repeated request count as repeats at the service called, which is left as much again.
+	fleetPart = 0.45
 )
 
 // FleetBudget is one node's part of a service's bound on repeats: a part of the requests that
--- a/internal/vm/dfpnode/dfpnode_quota.go
+++ b/internal/vm/dfpnode/dfpnode_quota.go
@@ -34,6 +34,10 @@
 	l.mu.Lock()
 	sends := decide(dfpclock.Now(), l.keeper)
 	l.mu.Unlock()
+	l.send(sends)
+}
+
+func (l *quotaLoop) send(sends []dfpquota.Send) {
 	for _, send := range sends {
 		l.n.tell(send.To, dfppeer.TopicShare, send.Message)
 	}
@@ -44,8 +48,9 @@
 		return func() {}, nil
 	}
 	l.mu.Lock()
-	ok, retryAfter := l.keeper.Take(dfpclock.Now(), organisation)
+	ok, retryAfter, sends := l.keeper.Take(dfpclock.Now(), organisation)
 	l.mu.Unlock()
+	l.send(sends)
 	if !ok {
 		jitter := time.Duration(rand.Float64() * retryJitter * float64(retryAfter))
 		return nil, &dfpcall.NotRun{Reason: dfpcall.ReasonRate, RetryAfter: retryAfter + jitter}
--- a/internal/vm/dfpnode/dfpnode_route.go
+++ b/internal/vm/dfpnode/dfpnode_route.go
@@ -82,6 +82,10 @@
 		result.Refused = out.NestedFailed
 		result.Bytes += len(out.Body)
 	case *dfpcall.NotRun:
+		if out.Offered {
+			result.Failed = true // The guard let it through, and the backend server turned it away.
+			break
+		}
 		switch out.Reason {
 		case dfpcall.ReasonOverload, dfpcall.ReasonDeadline, dfpcall.ReasonDraining, dfpcall.ReasonCancelled:
 			result.Refused = true
--- a/internal/zone/dfpquota/allotter.go
+++ b/internal/zone/dfpquota/allotter.go
@@ -1,6 +1,10 @@
 package dfpquota
 
-import "time"
+import (
+	"math"
+	"slices"
+	"time"
+)
 
 // allotter divides the rates among the nodes that report to this one.
 type allotter struct {
@@ -8,6 +12,13 @@
 	// majoritySince is since when a majority of the fleet has been reporting here.
 	majoritySince time.Time
 	hasMajority   bool
+	reserves      map[string]*reserve
+}
+
+// reserve is the bucket of one organisation's tokens for nodes that run short.
+type reserve struct {
+	tokens float64
+	at     time.Time
 }
 
 // reporter is a node that reports here.
@@ -21,13 +32,16 @@
 // given is what one node got, by organisation.
 type given struct {
 	at        time.Time
+	nonce     uint64
 	perSecond map[string]float64
 }
 
-func newAllotter() allotter { return allotter{reporters: map[string]*reporter{}} }
+func newAllotter() allotter {
+	return allotter{reporters: map[string]*reporter{}, reserves: map[string]*reserve{}}
+}
 
 // report takes one report and returns the answer; false if the node must make do with its floor.
-func (a *allotter) report(now time.Time, from string, m Message, buckets map[string]*bucket, nodes int) (Message, bool) {
+func (a *allotter) report(now time.Time, from string, m Message, limits map[string]float64, nodes int) (Message, bool) {
 	r := a.reporters[from]
 	if r == nil {
 		r = &reporter{}
@@ -38,22 +52,40 @@
 	for _, d := range m.Demands {
 		r.demands[d.Organisation] = max(0, d.PerSecond)
 	}
+	r.given = slices.DeleteFunc(r.given, func(g given) bool { return g.nonce < m.Held })
 	a.forget(now)
 	if !a.established(now, nodes) {
 		return Message{}, false
 	}
 	answer := Message{Nonce: m.Nonce}
-	perSecond := make(map[string]float64, len(buckets))
-	for name, b := range buckets {
-		if share := a.share(from, b.organisation, nodes); share > 0 {
+	perSecond := make(map[string]float64, len(limits))
+	for name, limit := range limits {
+		if share := a.share(from, name, limit, nodes); share > 0 {
 			perSecond[name] = share
 			answer.Demands = append(answer.Demands, Demand{name, share})
 		}
 	}
-	r.given = append(r.given, given{now, perSecond})
+	r.given = append(r.given, given{now, m.Nonce, perSecond})
 	return answer, true
 }
 
+// spot takes tokens from an organisation's reserve, which fills by perSecond up to capacity.
+func (a *allotter) spot(now time.Time, ask Demand, perSecond, capacity float64) float64 {
+	if !a.hasMajority || now.Sub(a.majoritySince) < AllotmentLife {
+		return 0
+	}
+	r := a.reserves[ask.Organisation]
+	if r == nil {
+		r = &reserve{at: now}
+		a.reserves[ask.Organisation] = r
+	}
+	r.tokens = min(r.tokens+perSecond*max(0, now.Sub(r.at).Seconds()), capacity)
+	r.at = now
+	number := math.Floor(min(ask.PerSecond, r.tokens))
+	r.tokens -= number
+	return number
+}
+
 // forget drops what has lapsed. The margin over AllotmentLife covers clocks that differ in speed.
 func (a *allotter) forget(now time.Time) {
 	const kept = AllotmentLife + AllotmentLife/20
@@ -80,23 +112,20 @@
 	return now.Sub(a.majoritySince) >= AllotmentLife
 }
 
-// share returns what a node may use of a rate. The nodes' demands are met first, with headroom and
+// share returns what a node may use of an organisation's limit, in requests a second. The nodes' demands are met first, with headroom and
 // in proportion if there is not enough; what is left over is divided evenly.
-func (a *allotter) share(from string, o Organisation, nodes int) float64 {
-	if o.Rate <= 0 {
-		return 0
-	}
+func (a *allotter) share(from, organisation string, limit float64, nodes int) float64 {
 	reporters := float64(len(a.reporters))
 	silent := max(0, float64(nodes)-reporters)
-	available := o.Rate - silent*FloorPart*o.Rate/float64(nodes)
+	available := (1-ReservePart)*limit - silent*FloorPart*limit/float64(nodes)
 	var wanted, out, own float64
 	for address, r := range a.reporters {
-		want := r.demands[o.Name] * headroom
+		want := r.demands[organisation] * headroom
 		wanted += want
 		if address == from {
 			own = want
 		} else {
-			out += r.outstanding(o.Name)
+			out += r.outstanding(organisation)
 		}
 	}
 	spare := sparePart * available
@@ -108,11 +137,11 @@
 	return max(0, min(own+spare/reporters, available-out))
 }
 
-// outstanding returns the most that a node may be using.
+// outstanding returns what a node was last given. An earlier allotment that it still uses, because
+// the last was lost, differs little, as demands fade slowly; the tolerance covers that.
 func (r *reporter) outstanding(organisation string) float64 {
-	most := 0.0
-	for _, g := range r.given {
-		most = max(most, g.perSecond[organisation])
+	if len(r.given) == 0 {
+		return 0
 	}
-	return most
+	return r.given[len(r.given)-1].perSecond[organisation]
 }
--- a/internal/zone/dfpquota/dfpquota.go
+++ b/internal/zone/dfpquota/dfpquota.go
@@ -8,8 +8,8 @@
 // The sum of what nodes may use stays within the rate because
 //
 //   - the allotter keeps the floor of every node aside that does not report to it;
-//   - it counts an allotment as out until it has lapsed by its own clock, which began later
-//     than the holder's;
+//   - it counts an allotment as out until its holder has reported that it uses a later one, or it
+//     has lapsed by the allotter's clock, which began later than the holder's;
 //   - a node whose allotment has lapsed goes on with the smaller of it and its floor for
 //     AllotmentLife, after which what others had of its floor has lapsed, too;
 //   - a report binds its sender to one allotter: a node that reports to another one first drops
@@ -17,6 +17,14 @@
 //   - an allotter gives nothing until it has been heard by a majority for AllotmentLife, after
 //     which whatever an earlier one gave has lapsed.
 //
+// A part of each rate, ReservePart, stays with the allotter as a token bucket for nodes that run
+// short between two reports: requests come in by chance, and a fleet's parts of a small rate are
+// smaller than what chance adds. Such a node asks for a few tokens at once.
+//
+// A rate is a bound on windows: in no Window does the fleet run more than rate*Window + burst, and
+// what its tolerance allows. So an organisation may run rate + burst/Window all the time, and the
+// buckets hold no more than the tolerance.
+//
 // Nothing outlives a process: a node starts with empty buckets, so that a fleet that has lost its
 // memory does not grant a burst twice.
 //
@@ -25,7 +33,7 @@
 //	keeper := dfpquota.New(now, dfpquota.Config{Self: address, Window: 5 * time.Second})
 //	keeper.SetRules(now, organisations)
 //	keeper.SetFleet(now, dfpquota.Fleet{Nodes: 18, Allotter: address})
-//	ok, retryAfter := keeper.Take(now, "waldspiel")
+//	ok, retryAfter, sends := keeper.Take(now, "waldspiel")
 //	sends := keeper.Tick(now)              // Every TickInterval.
 //	sends = keeper.Handle(now, from, msg)  // For each message of another node.
 //
@@ -46,11 +54,20 @@
 	// FloorPart is the part of each rate that nodes without an allotment divide evenly. The rest is
 	// left for a fleet whose size they know only about.
 	FloorPart = 0.8
+	// ReservePart is the part of each rate for nodes that run short.
+	ReservePart = 0.5
+	// reserveSlackPart is the part of the tolerance that the reserve may hold.
+	reserveSlackPart = 0.5
+	// spotInterval is the least time between two asks of a node that runs short, about the time
+	// that an answer takes between regions.
+	spotInterval = 60 * time.Millisecond
+	// spotHorizon is how much of its demand a node asks for at once.
+	spotHorizon = 300 * time.Millisecond
 	// sparePart is the part of a rate that is divided evenly among the nodes however much some are
 	// asked for, so that a node's first requests in an organisation's name find tokens.
 	sparePart = 0.05
 	// demandSpan is the time constant of the demand that a node reports.
-	demandSpan = 1500 * time.Millisecond
+	demandSpan = 10 * time.Second
 	// headroom is how much more than its demand a node is allotted first, so that chance does not
 	// make it refuse.
 	headroom = 1.3
@@ -60,7 +77,7 @@
 	maxRetryAfter = 2 * time.Second
 	// slackPart is the part of the rates' tolerance that buckets may hold at once; the rest is
 	// left for changes of the fleet's size that nodes notice at different times.
-	slackPart = 0.5
+	slackPart = 0.3
 )
 
 // Organisation is one organisation's rate over the whole fleet; a Rate of 0 sets no limit.
@@ -90,6 +107,17 @@
 	Slack   float64
 }
 
+// sustained is what an organisation may run a second all the time: the burst is allowed in each
+// window again.
+func (c Config) sustained(o Organisation) float64 {
+	return o.Rate + o.Burst/c.Window.Seconds()
+}
+
+// tolerance is what a window may run beyond rate*Window + burst.
+func (c Config) tolerance(o Organisation) float64 {
+	return (o.Rate*c.Window.Seconds()+o.Burst)*c.Overage + c.Slack
+}
+
 // Demand is what a node is asked for in the name of one organisation, in requests a second.
 type Demand struct {
 	Organisation string  `cbor:"1,keyasint"`
@@ -102,6 +130,10 @@
 	Nonce uint64 `cbor:"1,keyasint"`
 	// Report says that this is a report.
 	Report bool `cbor:"2,keyasint,omitempty"`
+	// Held is the nonce that the allotment in use answers, in a report; 0 for none.
+	Held uint64 `cbor:"4,keyasint,omitempty"`
+	// Spot asks for tokens at once, or brings them; PerSecond then is their number.
+	Spot *Demand `cbor:"5,keyasint,omitempty"`
 	// Demands are the report's, or in the answer what the node may use.
 	Demands []Demand `cbor:"3,keyasint,omitempty"`
 }
@@ -128,4 +160,7 @@
 	PerSecond float64 `json:"per_second"`
 	Demand    float64 `json:"demand"`
 	Tokens    float64 `json:"tokens"`
+	// Taken and Refused count requests.
+	Taken   int64 `json:"taken"`
+	Refused int64 `json:"refused"`
 }
--- a/internal/zone/dfpquota/keeper.go
+++ b/internal/zone/dfpquota/keeper.go
@@ -31,6 +31,10 @@
 	// allotted is what the node may use, a second, until Keeper.heldUntil.
 	allotted float64
 	demand   demand
+	// spotAt is when the node last asked for tokens at once.
+	spotAt time.Time
+	// taken and refused count requests.
+	taken, refused int64
 }
 
 // New returns the keeper of a node that has just started.
@@ -53,7 +57,7 @@
 		}
 		k.refill(now, b)
 		b.organisation = o
-		b.tokens = min(b.tokens, k.capacity(o))
+		b.tokens = min(b.tokens, k.capacity(now, b))
 		next[o.Name] = b
 	}
 	k.buckets = next
@@ -77,26 +81,46 @@
 }
 
 // Take takes a token for one request. Without one it returns false and when to come back.
-// An organisation without a limit, or that is not known, is never refused.
-func (k *Keeper) Take(now time.Time, organisation string) (bool, time.Duration) {
+// An organisation without a limit, or that is not known, is never refused. A node that runs
+// short asks for more.
+func (k *Keeper) Take(now time.Time, organisation string) (bool, time.Duration, []Send) {
 	b := k.buckets[organisation]
 	if b == nil || b.organisation.Rate <= 0 {
-		return true, 0
+		return true, 0, nil
 	}
 	b.demand.count(now)
 	k.refill(now, b)
-	if b.tokens < 1 {
-		return false, k.retryAfter(b)
+	var retryAfter time.Duration
+	ok := b.tokens >= 1
+	if ok {
+		b.tokens--
+		b.taken++
+	} else {
+		b.refused++
+		retryAfter = k.retryAfter(b)
 	}
-	b.tokens--
-	return true, 0
+	return ok, retryAfter, k.spot(now, b)
+}
+
+// spot asks for tokens if the next request would find none.
+func (k *Keeper) spot(now time.Time, b *bucket) []Send {
+	if b.tokens >= 1 || now.Sub(b.spotAt) < spotInterval || k.fleet.Allotter == "" {
+		return nil
+	}
+	b.spotAt = now
+	number := math.Ceil(b.demand.perSecond(now)*spotHorizon.Seconds() + 1)
+	ask := Message{Report: true, Spot: &Demand{b.organisation.Name, number}}
+	if k.fleet.Allotter == k.cfg.Self {
+		return k.Handle(now, k.cfg.Self, ask)
+	}
+	return []Send{{k.fleet.Allotter, ask}}
 }
 
 // GiveBack returns the token of a request that did not run.
 func (k *Keeper) GiveBack(now time.Time, organisation string) {
 	if b := k.buckets[organisation]; b != nil {
 		k.refill(now, b)
-		b.tokens = min(b.tokens+1, k.capacity(b.organisation))
+		b.tokens = min(b.tokens+1, k.capacity(now, b))
 	}
 }
 
@@ -108,7 +132,7 @@
 
 // floor is this node's even part of a rate.
 func (k *Keeper) floor(o Organisation) float64 {
-	return FloorPart * o.Rate / float64(k.fleet.Nodes)
+	return FloorPart * k.cfg.sustained(o) / float64(k.fleet.Nodes)
 }
 
 // rate is what the node may use of a rate at a time.
@@ -124,11 +148,14 @@
 	}
 }
 
-// capacity is the number of tokens that a bucket holds: the nodes' together are the burst and a
-// part of the tolerance, but a node can always save up one.
-func (k *Keeper) capacity(o Organisation) float64 {
-	tolerance := (o.Rate*k.cfg.Window.Seconds()+o.Burst)*k.cfg.Overage + k.cfg.Slack
-	return max(1, (o.Burst+slackPart*tolerance)/float64(k.fleet.Nodes))
+// capacity is the number of tokens that a bucket holds: a part of the tolerance, in proportion to
+// what the node may use of the rate. A node can always save up one.
+func (k *Keeper) capacity(now time.Time, b *bucket) float64 {
+	o := b.organisation
+	if o.Rate <= 0 {
+		return 1
+	}
+	return max(1, slackPart*k.cfg.tolerance(o)*k.rate(now, b)/k.cfg.sustained(o))
 }
 
 // refill adds the tokens since the last time. What came while the allotment lapsed counts by the
@@ -140,7 +167,7 @@
 	}
 	rate := min(k.rate(b.at, b), k.rate(now, b))
 	b.at = now
-	b.tokens = min(b.tokens+rate*elapsed, k.capacity(b.organisation))
+	b.tokens = max(b.tokens, min(b.tokens+rate*elapsed, k.capacity(now, b)))
 }
 
 func (k *Keeper) refillAll(now time.Time) {
@@ -169,7 +196,7 @@
 		}
 	}
 	k.sent[k.nonce] = now
-	report := Message{Nonce: k.nonce, Report: true, Demands: k.demands(now)}
+	report := Message{Nonce: k.nonce, Report: true, Held: k.heldNonce, Demands: k.demands(now)}
 	if k.fleet.Allotter == k.cfg.Self {
 		return k.Handle(now, k.cfg.Self, report)
 	}
@@ -196,7 +223,10 @@
 		}
 		return nil
 	}
-	answer, ok := k.allotter.report(now, from, m, k.buckets, k.fleet.Nodes)
+	if m.Spot != nil {
+		return k.giveSpot(now, from, *m.Spot)
+	}
+	answer, ok := k.allotter.report(now, from, m, k.limits(), k.fleet.Nodes)
 	if !ok {
 		return nil
 	}
@@ -207,8 +237,45 @@
 	return []Send{{from, answer}}
 }
 
+// giveSpot answers an ask for tokens with what the reserve has of them.
+func (k *Keeper) giveSpot(now time.Time, from string, ask Demand) []Send {
+	b := k.buckets[ask.Organisation]
+	if b == nil || b.organisation.Rate <= 0 {
+		return nil
+	}
+	o := b.organisation
+	number := k.allotter.spot(now, ask, k.cfg.sustained(o)*ReservePart, k.cfg.tolerance(o)*reserveSlackPart)
+	if number < 1 {
+		return nil
+	}
+	answer := Message{Spot: &Demand{ask.Organisation, number}}
+	if from == k.cfg.Self {
+		k.take(now, answer)
+		return nil
+	}
+	return []Send{{from, answer}}
+}
+
+// limits returns what the whole fleet may run of each limited organisation, in requests a second.
+func (k *Keeper) limits() map[string]float64 {
+	limits := make(map[string]float64, len(k.buckets))
+	for name, b := range k.buckets {
+		if b.organisation.Rate > 0 {
+			limits[name] = k.cfg.sustained(b.organisation)
+		}
+	}
+	return limits
+}
+
 // take puts an allotment into use. One that answers an older report than the one in use is late.
 func (k *Keeper) take(now time.Time, m Message) {
+	if m.Spot != nil {
+		if b := k.buckets[m.Spot.Organisation]; b != nil {
+			k.refill(now, b)
+			b.tokens = max(b.tokens, min(b.tokens+m.Spot.PerSecond, k.capacity(now, b)+m.Spot.PerSecond))
+		}
+		return
+	}
 	sentAt, found := k.sent[m.Nonce]
 	if !found || m.Nonce <= k.heldNonce || now.Sub(sentAt) >= AllotmentLife {
 		return
@@ -233,6 +300,7 @@
 		k.refill(now, b)
 		s.Organisations = append(s.Organisations, OrganisationState{
 			Name: name, PerSecond: k.rate(now, b), Demand: b.demand.perSecond(now), Tokens: b.tokens,
+			Taken: b.taken, Refused: b.refused,
 		})
 	}
 	sort.Slice(s.Organisations, func(i, j int) bool { return s.Organisations[i].Name < s.Organisations[j].Name })
