--- a/internal/vm/dfpnode/dfpnode_quota.go
+++ b/internal/vm/dfpnode/dfpnode_quota.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -21,12 +20,14 @@
 
 	mu     sync.Mutex // Held for a decision at a time.
 	keeper *dfpquota.Keeper
+	// news is closed and replaced when tokens have come in.
+	news chan struct{}
 }
 
 func newQuotaLoop(n *Node) *quotaLoop {
 	cfg := *n.cfg.Quota
 	cfg.Self = n.cfg.VM.Address
-	return &quotaLoop{n: n, keeper: dfpquota.New(dfpclock.Now(), cfg)}
+	return &quotaLoop{n: n, keeper: dfpquota.New(dfpclock.Now(), cfg), news: make(chan struct{})}
 }
 
 // do makes one decision and sends what it asks for.
@@ -43,23 +44,51 @@
 	}
 }
 
-func (l *quotaLoop) take(_ context.Context, organisation string) (func(), *dfpcall.NotRun) {
+// take waits for tokens that are on their way at most twice: those that the first answer brought may
+// have gone to others.
+func (l *quotaLoop) take(ctx context.Context, organisation string) (func(), *dfpcall.NotRun) {
 	if organisation == "" || l.n.cfg.NoRates {
 		return func() {}, nil
 	}
-	l.mu.Lock()
-	ok, retryAfter, sends := l.keeper.Take(dfpclock.Now(), organisation)
-	l.mu.Unlock()
-	l.send(sends)
-	if !ok {
-		jitter := time.Duration(rand.Float64() * retryJitter * float64(retryAfter))
-		return nil, &dfpcall.NotRun{Reason: dfpcall.ReasonRate, RetryAfter: retryAfter + jitter}
-	}
-	return func() {
+	const waits = 2
+	for try := 0; ; try++ {
 		l.mu.Lock()
-		defer l.mu.Unlock()
-		l.keeper.GiveBack(dfpclock.Now(), organisation)
-	}, nil
+		verdict, sends := l.keeper.Take(dfpclock.Now(), organisation, try > 0)
+		news := l.news
+		l.mu.Unlock()
+		l.send(sends)
+		switch v := verdict.(type) {
+		case *dfpquota.Granted:
+			return func() { l.giveBack(organisation) }, nil
+		case *dfpquota.Refused:
+			return nil, refusedByRate(v.RetryAfter)
+		}
+		if try == waits {
+			return nil, refusedByRate(dfpquota.AskLife)
+		}
+		if !waitFor(ctx, news, dfpquota.AskLife) {
+			return nil, &dfpcall.NotRun{Reason: reasonOf(ctx)}
+		}
+	}
+}
+
+// waitFor waits for news or a time; it returns false if ctx has ended.
+func waitFor(ctx context.Context, news <-chan struct{}, most time.Duration) bool {
+	timer := time.NewTimer(most)
+	defer timer.Stop()
+	select {
+	case <-news:
+	case <-timer.C:
+	case <-ctx.Done():
+		return false
+	}
+	return true
+}
+
+func (l *quotaLoop) giveBack(organisation string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.keeper.GiveBack(dfpclock.Now(), organisation)
 }
 
 // run ticks the keeper until the node ends.
@@ -96,7 +125,13 @@
 	if err != nil {
 		return dfppeer.Control{}, err
 	}
-	l.do(func(now time.Time, k *dfpquota.Keeper) []dfpquota.Send { return k.Handle(now, from, body) })
+	l.do(func(now time.Time, k *dfpquota.Keeper) []dfpquota.Send {
+		if body.Spot != nil && !body.Report {
+			close(l.news)
+			l.news = make(chan struct{})
+		}
+		return k.Handle(now, from, body)
+	})
 	return dfppeer.Control{Topic: msg.Topic}, nil
 }
 
--- a/internal/zone/dfpquota/dfpquota.go
+++ b/internal/zone/dfpquota/dfpquota.go
@@ -33,7 +33,7 @@
 //	keeper := dfpquota.New(now, dfpquota.Config{Self: address, Window: 5 * time.Second})
 //	keeper.SetRules(now, organisations)
 //	keeper.SetFleet(now, dfpquota.Fleet{Nodes: 18, Allotter: address})
-//	ok, retryAfter, sends := keeper.Take(now, "waldspiel")
+//	verdict, sends := keeper.Take(now, "waldspiel", false)
 //	sends := keeper.Tick(now)              // Every TickInterval.
 //	sends = keeper.Handle(now, from, msg)  // For each message of another node.
 //
@@ -58,9 +58,11 @@
 	ReservePart = 0.5
 	// reserveSlackPart is the part of the tolerance that the reserve may hold.
 	reserveSlackPart = 0.5
-	// spotInterval is the least time between two asks of a node that runs short, about the time
-	// that an answer takes between regions.
-	spotInterval = 60 * time.Millisecond
+	// AskLife is how long a node, and its requests, wait for tokens that it has asked for: twice
+	// the way between two regions there and back.
+	AskLife = 100 * time.Millisecond
+	// deniedTime is how long a node asks for none after it got too few.
+	deniedTime = 100 * time.Millisecond
 	// spotHorizon is how much of its demand a node asks for at once.
 	spotHorizon = 300 * time.Millisecond
 	// sparePart is the part of a rate that is divided evenly among the nodes however much some are
@@ -118,6 +120,23 @@
 	return (o.Rate*c.Window.Seconds()+o.Burst)*c.Overage + c.Slack
 }
 
+// Verdict is *Granted, *Waiting or *Refused.
+type Verdict interface{ verdict() }
+
+// Granted says that the request may run.
+type Granted struct{}
+
+// Waiting says that tokens are on their way: decide on the request again when a message has been
+// handled, or after AskLife.
+type Waiting struct{}
+
+// Refused says that the organisation is over its rate.
+type Refused struct{ RetryAfter time.Duration }
+
+func (*Granted) verdict() {}
+func (*Waiting) verdict() {}
+func (*Refused) verdict() {}
+
 // Demand is what a node is asked for in the name of one organisation, in requests a second.
 type Demand struct {
 	Organisation string  `cbor:"1,keyasint"`
--- a/internal/zone/dfpquota/keeper.go
+++ b/internal/zone/dfpquota/keeper.go
@@ -31,8 +31,12 @@
 	// allotted is what the node may use, a second, until Keeper.heldUntil.
 	allotted float64
 	demand   demand
-	// spotAt is when the node last asked for tokens at once.
-	spotAt time.Time
+	// asked is the number of tokens asked for at once since askedAt and not answered, wanted how many
+	// of them requests wait for.
+	asked, wanted float64
+	askedAt       time.Time
+	// deniedUntil is until when the node asks for none, since it got less than it had asked for.
+	deniedUntil time.Time
 	// taken and refused count requests.
 	taken, refused int64
 }
@@ -80,35 +84,48 @@
 	}
 }
 
-// Take takes a token for one request. Without one it returns false and when to come back.
-// An organisation without a limit, or that is not known, is never refused. A node that runs
-// short asks for more.
-func (k *Keeper) Take(now time.Time, organisation string) (bool, time.Duration, []Send) {
+// Take decides on one request. Repeated says that it has waited and is decided on again. An
+// organisation without a limit, or that is not known, is never refused.
+func (k *Keeper) Take(now time.Time, organisation string, repeated bool) (Verdict, []Send) {
 	b := k.buckets[organisation]
 	if b == nil || b.organisation.Rate <= 0 {
-		return true, 0, nil
+		return &Granted{}, nil
+	}
+	if !repeated {
+		b.demand.count(now)
 	}
-	b.demand.count(now)
 	k.refill(now, b)
-	var retryAfter time.Duration
-	ok := b.tokens >= 1
-	if ok {
+	if b.tokens >= 1 {
 		b.tokens--
 		b.taken++
-	} else {
-		b.refused++
-		retryAfter = k.retryAfter(b)
+		return &Granted{}, k.ask(now, b, 0)
+	}
+	if sends := k.ask(now, b, 1); len(sends) > 0 || now.Sub(b.askedAt) < AskLife && b.asked > 0 {
+		return &Waiting{}, sends
 	}
-	return ok, retryAfter, k.spot(now, b)
+	if b.tokens >= 1 { // This node is the allotter and has asked itself.
+		b.tokens--
+		b.taken++
+		return &Granted{}, nil
+	}
+	b.refused++
+	return &Refused{RetryAfter: k.retryAfter(now, b)}, nil
 }
 
-// spot asks for tokens if the next request would find none.
-func (k *Keeper) spot(now time.Time, b *bucket) []Send {
-	if b.tokens >= 1 || now.Sub(b.spotAt) < spotInterval || k.fleet.Allotter == "" {
+// ask asks for tokens at once where the node runs short, for as many waiting requests more and for
+// what it will be asked for next. It asks for nothing shortly after it got less than it asked for,
+// nor where it holds no allotment, which shows that the allotter cannot be reached.
+func (k *Keeper) ask(now time.Time, b *bucket, waiting float64) []Send {
+	if now.Sub(b.askedAt) >= AskLife {
+		b.asked, b.wanted = 0, 0
+	}
+	b.wanted += waiting
+	if b.tokens >= 1 || b.wanted <= b.asked && b.asked > 0 || now.Before(b.deniedUntil) || !now.Before(k.heldUntil) {
 		return nil
 	}
-	b.spotAt = now
-	number := math.Ceil(b.demand.perSecond(now)*spotHorizon.Seconds() + 1)
+	number := math.Ceil(b.wanted - b.asked + b.demand.perSecond(now)*spotHorizon.Seconds())
+	b.askedAt = now
+	b.asked += number
 	ask := Message{Report: true, Spot: &Demand{b.organisation.Name, number}}
 	if k.fleet.Allotter == k.cfg.Self {
 		return k.Handle(now, k.cfg.Self, ask)
@@ -124,8 +141,8 @@
 	}
 }
 
-func (k *Keeper) retryAfter(b *bucket) time.Duration {
-	seconds := (1 - b.tokens) / math.Max(k.rate(b.at, b), math.SmallestNonzeroFloat32)
+func (k *Keeper) retryAfter(now time.Time, b *bucket) time.Duration {
+	seconds := (1 - b.tokens) / math.Max(k.rate(now, b), math.SmallestNonzeroFloat32)
 	wait := time.Duration(math.Min(seconds, maxRetryAfter.Seconds()) * float64(time.Second))
 	return max(wait, minRetryAfter)
 }
@@ -245,9 +262,6 @@
 	}
 	o := b.organisation
 	number := k.allotter.spot(now, ask, k.cfg.sustained(o)*ReservePart, k.cfg.tolerance(o)*reserveSlackPart)
-	if number < 1 {
-		return nil
-	}
 	answer := Message{Spot: &Demand{ask.Organisation, number}}
 	if from == k.cfg.Self {
 		k.take(now, answer)
@@ -272,7 +286,11 @@
 	if m.Spot != nil {
 		if b := k.buckets[m.Spot.Organisation]; b != nil {
 			k.refill(now, b)
-			b.tokens = max(b.tokens, min(b.tokens+m.Spot.PerSecond, k.capacity(now, b)+m.Spot.PerSecond))
+			b.tokens += m.Spot.PerSecond
+			if m.Spot.PerSecond < b.asked {
+				b.deniedUntil = now.Add(deniedTime)
+			}
+			b.asked, b.wanted = 0, 0
 		}
 		return
 	}
