--- a/internal/zone/dfpquota/allotter.go
+++ b/internal/zone/dfpquota/allotter.go
@@ -1,7 +1,6 @@
 package dfpquota
 
 import (
-	"math"
 	"slices"
 	"time"
 )
@@ -15,12 +14,6 @@
 	reserves      map[string]*reserve
 }
 
-// reserve is the bucket of one organisation's tokens for nodes that run short.
-type reserve struct {
-	tokens float64
-	at     time.Time
-}
-
 // reporter is a node that reports here.
 type reporter struct {
 	heard   time.Time
@@ -69,21 +62,17 @@
 	return answer, true
 }
 
-// spot takes tokens from an organisation's reserve, which fills by perSecond up to capacity.
-func (a *allotter) spot(now time.Time, ask Demand, perSecond, capacity float64) float64 {
+// spot takes tokens from an organisation's reserve, of which a window has so many.
+func (a *allotter) spot(now time.Time, ask Demand, window time.Duration, number float64) float64 {
 	if !a.hasMajority || now.Sub(a.majoritySince) < AllotmentLife {
 		return 0
 	}
 	r := a.reserves[ask.Organisation]
 	if r == nil {
-		r = &reserve{at: now}
+		r = newReserve(now, window, number)
 		a.reserves[ask.Organisation] = r
 	}
-	r.tokens = min(r.tokens+perSecond*max(0, now.Sub(r.at).Seconds()), capacity)
-	r.at = now
-	number := math.Floor(min(ask.PerSecond, r.tokens))
-	r.tokens -= number
-	return number
+	return r.take(now, window, number, ask.PerSecond)
 }
 
 // forget drops what has lapsed. The margin over AllotmentLife covers clocks that differ in speed.
--- a/internal/zone/dfpquota/dfpquota.go
+++ b/internal/zone/dfpquota/dfpquota.go
@@ -17,8 +17,8 @@
 //   - an allotter gives nothing until it has been heard by a majority for AllotmentLife, after
 //     which whatever an earlier one gave has lapsed.
 //
-// A part of each rate, ReservePart, stays with the allotter as a token bucket for nodes that run
-// short between two reports: requests come in by chance, and a fleet's parts of a small rate are
+// A part of each rate, ReservePart, stays with the allotter for nodes that run short between two
+// reports: requests come in by chance, and a fleet's parts of a small rate are
 // smaller than what chance adds. Such a node asks for a few tokens at once.
 //
 // A rate is a bound on windows: in no Window does the fleet run more than rate*Window + burst, and
@@ -55,9 +55,9 @@
 	// left for a fleet whose size they know only about.
 	FloorPart = 0.8
 	// ReservePart is the part of each rate for nodes that run short.
-	ReservePart = 0.5
+	ReservePart = 0.6
 	// reserveSlackPart is the part of the tolerance that the reserve may hold.
-	reserveSlackPart = 0.5
+	reserveSlackPart = 0.3
 	// AskLife is how long a node, and its requests, wait for tokens that it has asked for: twice
 	// the way between two regions there and back.
 	AskLife = 100 * time.Millisecond
--- a/internal/zone/dfpquota/keeper.go
+++ b/internal/zone/dfpquota/keeper.go
@@ -261,7 +261,8 @@
 		return nil
 	}
 	o := b.organisation
-	number := k.allotter.spot(now, ask, k.cfg.sustained(o)*ReservePart, k.cfg.tolerance(o)*reserveSlackPart)
+	window := ReservePart*k.cfg.sustained(o)*k.cfg.Window.Seconds() + reserveSlackPart*k.cfg.tolerance(o)
+	number := k.allotter.spot(now, ask, k.cfg.Window, window)
 	answer := Message{Spot: &Demand{ask.Organisation, number}}
 	if from == k.cfg.Self {
 		k.take(now, answer)
