--- a/internal/operator/dfpprocess/dfpprocess.go
+++ b/internal/operator/dfpprocess/dfpprocess.go
@@ -87,7 +87,7 @@
 const (
 	// collectorPercent lets the heap grow to five times what is live between two collections. A
 	// node's heap is a few megabytes, so that at Go's 100 it would collect many times a second.
-	collectorPercent = 400
+	collectorPercent = 30
 	// collectorLimit is the memory in bytes that a node may have by its settings' default.
 	collectorLimit = 64 << 20
 )
