Spare nested calls; steer entries by how long they wait; rank by organisation, then route

Its guard refused nested calls by chance, so that 7,900 requests failed after most of their work was done, and every level of the chain sent again. Change: nested calls wait; the guard steers by their waiting the level at which entries take in new requests; a failed nested call excuses the server that made it; no crossing of regions for load.

--- a/internal/contract/dfpcall/dfpcall.go
+++ b/internal/contract/dfpcall/dfpcall.go
@@ -245,6 +245,15 @@
 	return Level(l.AdmitImportance)*Cohorts + Cohorts - Level(l.AdmitCohorts)
 }
 
+// Raise returns the load with its admission at a level at least.
+func (l Load) Raise(level Level) Load {
+	if level > l.Level() {
+		level = min(level, MaxLevel-1)
+		l.AdmitImportance, l.AdmitCohorts = Importance(level/Cohorts), uint8(Cohorts-level%Cohorts)
+	}
+	return l
+}
+
 // Admits reports whether a guard with this load lets such a request in.
 func (l Load) Admits(importance Importance, cohort uint8) bool {
 	if importance != l.AdmitImportance {
--- a/internal/contract/dfpretry/fleet.go
+++ b/internal/contract/dfpretry/fleet.go
@@ -15,8 +15,9 @@
 	// fleetSlices is the number of parts in which a window is counted.
 	fleetSlices = 10
 	// fleetPart is the part of the bound that nodes use by themselves. The calls that a backend server
-	// makes for a repeated request count as repeats at the service called, which is left as much again.
-	fleetPart = 0.45
+	// makes for a repeated request count as repeats at the service called, so that the parts of a chain
+	// of four services add up.
+	fleetPart = 0.25
 )
 
 // FleetBudget is one node's part of a service's bound on repeats: a part of the requests that
--- a/internal/contract/dfprules/build.go
+++ b/internal/contract/dfprules/build.go
@@ -51,6 +51,7 @@
 	if len(b.faults) > 0 {
 		return nil, fmt.Errorf("%w: %w", ErrBuild, errors.Join(b.faults...))
 	}
+	b.set.rankAll()
 	return b.set, nil
 }
 
--- a/internal/contract/dfprules/dfprules.go
+++ b/internal/contract/dfprules/dfprules.go
@@ -87,7 +87,7 @@
 	// CallersShare is the largest part of one entry's caller connections and work
 	// in progress that the organisation may hold, above 0 and at most 1.
 	CallersShare float64 `json:"callers_share"`
-	// Rank, if not nil, goes before the importance of routes: 0 is the most important.
+	// Rank, if not nil, goes before that of routes: 0 is the most important.
 	Rank *int `json:"rank,omitempty"`
 }
 
@@ -158,6 +158,8 @@
 	// Attempts is the largest number of backend servers that a request is handed to; 0 sets no
 	// bound besides the retry budget.
 	Attempts int `json:"attempts,omitempty"`
+	// Rank, if not nil, orders routes more finely than Importance: 0 is the most important.
+	Rank *int `json:"rank,omitempty"`
 	// Objective is the latency within which an answer has its full worth; 0 is none.
 	Objective  time.Duration      `json:"objective,omitempty"`
 	Service    string             `json:"service"`
@@ -221,6 +223,8 @@
 	methods       map[string]*segment
 	// hosts holds the routes by host and prefix.
 	hosts map[string]map[string]*Route
+	// ranks numbers the pairs of ranks that can come, from the most important.
+	ranks map[rankPair]int
 	// limits are the bounds on what callers send; zero fields set none.
 	limits Limits
 }
--- a/internal/vm/dfpguard/dfpguard.go
+++ b/internal/vm/dfpguard/dfpguard.go
@@ -84,6 +84,11 @@
 	// RampTime is how long a new backend server takes to reach its slots;
 	// negative for no ramp.
 	RampTime time.Duration
+	// SpareNested lets nested calls, which have the highest importance, wait rather than refuse them
+	// for load, and steers by their waiting what entries take in; see steer.go.
+	SpareNested bool
+	// SlotsPart, if not 0, is the part of the slots that is used, in place of a learned limit.
+	SlotsPart float64
 	// Rand spreads RetryAfter. It is required.
 	Rand *rand.Rand
 }
@@ -93,6 +98,8 @@
 	DefaultWindow   = 100 * time.Millisecond
 	DefaultRampTime = 5 * time.Second
 	MinQueueLimit   = 4
+	// nestedQueue is how many times the slots may wait where nested calls are spared.
+	nestedQueue = 6
 	// windowServices is the least number of mean service times in a control interval.
 	windowServices = 2
 	maxWindow      = 300 * time.Millisecond
--- a/internal/vm/dfpguard/guard.go
+++ b/internal/vm/dfpguard/guard.go
@@ -13,6 +13,7 @@
 	cfg       Config
 	limiter   *limiter
 	admission admission
+	steer     steer
 	queue     *queue
 	running   map[Handle]struct{}
 	service   estimate
@@ -128,10 +129,18 @@
 		return g.refuse(dfpcall.ReasonNoBackendServer)
 	}
 	g.admission.arrive(t)
+	if g.cfg.SpareNested && t.Importance == dfpcall.Critical {
+		return g.enter(t, free, fx)
+	}
 	// What waits since before the level rose must not outlast more important arrivals.
 	if !g.mayEnter(t, free) {
 		return g.refuse(dfpcall.ReasonOverload)
 	}
+	return g.enter(t, free, fx)
+}
+
+// enter starts an arrival or puts it into the queue, unless it would be too late or there is no room.
+func (g *Guard) enter(t Ticket, free bool, fx *Effects) Verdict {
 	ahead := 0
 	if !free {
 		ahead = g.queue.ahead(t.Importance, t.Organisation) + 1
@@ -161,6 +170,9 @@
 // important ones. What waits since before the level rose must not outlast more important
 // arrivals.
 func (g *Guard) mayEnter(t Ticket, free bool) bool {
+	if int(rankOf(t)) < int(g.steer.level) {
+		return false
+	}
 	return g.admission.admits(t) || g.queue.holdsBelow(t.Importance) ||
 		free && t.Importance >= g.admission.importance()
 }
@@ -238,7 +250,13 @@
 	g.pressure.advance(g.now)
 	if g.cfg.Mode == ModeAdaptive {
 		g.limiter.advance(g.now)
+		if g.cfg.SpareNested {
+			g.steer.advance(g.now, g.cfg.Window, g.waitFor(g.queue.len()), float64(len(g.running))/float64(g.limit()))
+		}
 		g.admission.advance(g.now, g.window(), g.queue, g.queueLimit())
+		if g.cfg.SpareNested {
+			g.admission.level = min(g.admission.level, int(maxSteerLevel))
+		}
 	}
 	if g.stalled() {
 		g.refuseStalled(fx)
@@ -282,6 +300,9 @@
 	case ModeFixed:
 		return g.cfg.Slots
 	}
+	if g.cfg.SlotsPart > 0 {
+		return min(max(1, int(g.cfg.SlotsPart*float64(g.cfg.Slots))), g.ramp())
+	}
 	return min(g.limiter.current(), g.ramp())
 }
 
@@ -307,5 +328,8 @@
 	if g.cfg.QueueLimit > 0 {
 		return g.cfg.QueueLimit
 	}
+	if g.cfg.SpareNested {
+		return max(MinQueueLimit, nestedQueue*g.cfg.Slots)
+	}
 	return max(MinQueueLimit, g.cfg.Slots)
 }
--- a/internal/vm/dfpguard/state.go
+++ b/internal/vm/dfpguard/state.go
@@ -37,6 +37,7 @@
 	if g.cfg.Mode == ModeAdaptive {
 		load.AdmitImportance, load.AdmitCohorts = g.admission.lowest()
 	}
+	load = load.Raise(dfpcall.Level(g.steer.level))
 	if g.stalled() {
 		load.AdmitImportance, load.AdmitCohorts = dfpcall.Critical, 0
 	}
--- a/internal/vm/dfpnode/dfpnode.go
+++ b/internal/vm/dfpnode/dfpnode.go
@@ -128,6 +128,11 @@
 	// Quota, if not nil, keeps the organisations' rates by dfpquota in place of dfpshare, whose
 	// zones' parts have to be configured.
 	Quota *dfpquota.Config
+	// OpenIsNested says that requests on open routes are calls that this VM's backend server makes.
+	OpenIsNested bool
+	// SpareNested and SlotsPart are dfpguard's.
+	SpareNested bool
+	SlotsPart   float64
 	// NoClaims serves requests without claims of idempotency keys.
 	NoClaims bool
 	// CallerService is the service of this VM as backend servers are told of it; empty if it is
@@ -219,6 +224,7 @@
 	serverLog serverLog
 
 	parents parents
+	nested  nestedCalls
 	guard   guardGate
 	roster  rosterLoop
 	config  configLoop
--- a/internal/vm/dfpnode/dfpnode_entry.go
+++ b/internal/vm/dfpnode/dfpnode_entry.go
@@ -135,6 +135,11 @@
 	ctx, cancel := context.WithTimeout(ctx, timeoutOf(t.route, in))
 	defer cancel()
 	req := n.newRootRequest(t, in)
+	if t.route.Open && n.cfg.OpenIsNested {
+		out := n.dispatch(ctx, req)
+		n.nested.learn(time.Now(), out)
+		return out
+	}
 	return n.serveWithinPolicy(req, t.route.ID(), in.IdempotencyKey, func() dfpcall.Outcome {
 		return n.serveWithinRate(ctx, req, in.IdempotencyKey)
 	})
@@ -194,6 +199,7 @@
 func (n *Node) newRootRequest(t target, in *dfpcaller.Incoming) *dfpcall.Request {
 	root := n.newID()
 	name := t.route.ServiceAt(spreadPoint(root.Counter))
+	importance, cohort := t.rules.Rank(t.route, t.organisation, dfpcall.CohortOf(root))
 	budget := 0
 	if service, ok := t.rules.Service(name); ok {
 		budget = service.Retries
@@ -201,8 +207,8 @@
 	return &dfpcall.Request{
 		Root:          root,
 		Organisation:  t.organisation,
-		Importance:    t.importance(),
-		Cohort:        dfpcall.CohortOf(root),
+		Importance:    importance,
+		Cohort:        cohort,
 		Service:       name,
 		Idempotent:    t.route.Idempotent,
 		Budget:        budget,
@@ -225,12 +231,3 @@
 	_, part := math.Modf(float64(i%(1<<32)) * golden)
 	return part
 }
-
-// importance is the organisation's where the rules rank organisations, else the route's. Open
-// routes keep theirs.
-func (t target) importance() dfpcall.Importance {
-	if o, ok := t.rules.Organisation(t.organisation); ok && o.Rank != nil {
-		return dfpcall.Importance(max(int(dfpcall.High)-*o.Rank, int(dfpcall.Low)))
-	}
-	return t.route.Importance
-}
--- a/internal/vm/dfpnode/dfpnode_guard.go
+++ b/internal/vm/dfpnode/dfpnode_guard.go
@@ -45,6 +45,7 @@
 	g.waiting = make(map[dfpguard.Handle]waiter)
 	g.guard = dfpguard.New(dfpguard.Config{
 		Mode: n.cfg.GuardMode, RampTime: n.cfg.GuardRamp, Rand: n.newRand(streamGuard),
+		SpareNested: n.cfg.SpareNested, SlotsPart: n.cfg.SlotsPart,
 	})
 }
 
@@ -177,7 +178,8 @@
 func (g *guardGate) load() dfpcall.Load {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.guard.Load(time.Now())
+	now := time.Now()
+	return g.guard.Load(now).Raise(g.n.nested.level(now))
 }
 
 // runForPeer runs a request that another node sent to this VM's backend server.
@@ -208,7 +210,7 @@
 	out := n.backend.Run(ctx, backend.Address, req, token)
 	n.parents.remove(token)
 	now := time.Now()
-	nestedFailed := running.close(out, n.guard.load().Level())
+	nestedFailed := running.close(out, n.guard.load().Level(), n.nested.failedLately(now))
 	n.guard.finish(now, handle, now.Sub(started), verdictOn(out, nestedFailed))
 	n.metrics.guardRan.Add(1)
 	if notRun, ok := out.(*dfpcall.NotRun); ok && notRun.Reason == dfpcall.ReasonNoBackendServer {
--- a/internal/vm/dfpnode/dfpnode_parents.go
+++ b/internal/vm/dfpnode/dfpnode_parents.go
@@ -56,12 +56,12 @@
 
 // close puts into the request's outcome what its nested calls have left of the
 // budget, the highest level met by them and at the guard itself, and whether one of them
-// failed or still ran. It reports the latter.
-func (p *parent) close(out dfpcall.Outcome, level dfpcall.Level) bool {
+// failed or still ran, or may have, as othersFailed says. It reports the latter.
+func (p *parent) close(out dfpcall.Outcome, level dfpcall.Level, othersFailed bool) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	left, level := p.account.Left(), max(p.level, level)
-	nestedFailed := p.failed > 0 || p.running > 0
+	nestedFailed := p.failed > 0 || p.running > 0 || othersFailed
 	switch out := out.(type) {
 	case *dfpcall.Answer:
 		out.Budget, out.Level, out.NestedFailed = left, level, nestedFailed
--- a/internal/vm/dfpnode/dfpnode_policy.go
+++ b/internal/vm/dfpnode/dfpnode_policy.go
@@ -43,7 +43,9 @@
 // serveWithinPolicy runs a root request unless the entry's policy refuses it.
 // The idempotency key, where there is one, tells a repeat.
 func (n *Node) serveWithinPolicy(req *dfpcall.Request, route, idempotencyKey string, serve func() dfpcall.Outcome) dfpcall.Outcome {
-	req.Cohort = n.policy.bursts.Cohort(time.Now(), req.Organisation, req.Cohort)
+	if n.cfg.Quota == nil {
+		req.Cohort = n.policy.bursts.Cohort(time.Now(), req.Organisation, req.Cohort)
+	}
 	root := dfpretry.Root{Organisation: req.Organisation, Route: route}
 	if idempotencyKey != "" {
 		root.Fingerprint = dfpretry.Fingerprint(req.Service, req.Method, idempotencyKey, nil)
--- a/internal/zone/dfproute/chain.go
+++ b/internal/zone/dfproute/chain.go
@@ -61,6 +61,19 @@
 	return chain.probes(now)
 }
 
+// Level returns the level that the chains of a route have met lately; 0 without news.
+func (g *ChainGate) Level(now time.Time, route string) dfpcall.Level {
+	found, ok := g.routes.Load(route)
+	if !ok {
+		return 0
+	}
+	chain := found.(*chainLevel)
+	if now.UnixNano()-chain.at.Load() > int64(ChainMemory) {
+		return 0
+	}
+	return dfpcall.Level(loadFloat(&chain.level))
+}
+
 // probes reports whether a request goes through against the level: one at a time, and only where
 // no other has brought news lately. Work may be lost on it.
 func (c *chainLevel) probes(now time.Time) bool {
--- a/internal/zone/dfproute/router.go
+++ b/internal/zone/dfproute/router.go
@@ -1,6 +1,7 @@
 package dfproute
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -149,22 +150,20 @@
 	if !ok {
 		return &Refuse{Reason: dfpcall.ReasonNoBackendServer, RetryAfter: spread(rnd, noServerRetryAfter)}
 	}
-	refusing, level := false, dfpcall.MaxLevel
-	for tier := range s.tiers {
-		d := r.draw(now, rnd, s, tier, &q)
-		refusing, level = refusing || d.refusing, min(level, d.level)
-		if d.best == nil {
-			continue
-		}
-		var reserved int64
-		if tier == tierCross {
-			reserved, ok = r.cross.reserve(now, q.Importance, s.stats.expectedBytes())
-			if !ok {
-				refusing = true
-				continue
+	best, tier := r.nearest(now, rnd, s, &q)
+	refusing, level := best.refusing, best.level
+	if r.mayCross(best) {
+		if d := r.draw(now, rnd, s, tierCross, &q); d.best != nil && d.score < best.score {
+			if reserved, ok := r.cross.reserve(now, q.Importance, s.stats.expectedBytes()); ok {
+				return r.target(now, s, d, tierCross, reserved)
 			}
+			refusing = true
+		} else {
+			refusing, level = refusing || d.refusing, min(level, d.level)
 		}
-		return r.target(now, s, d, tier, reserved)
+	}
+	if best.best != nil {
+		return r.target(now, s, best, tier, 0)
 	}
 	if refusing {
 		return &Refuse{Reason: dfpcall.ReasonOverload, RetryAfter: spread(rnd, overloadRetryAfter), Level: level % dfpcall.MaxLevel}
@@ -172,6 +171,39 @@
 	return &Refuse{Reason: dfpcall.ReasonNoBackendServer, RetryAfter: spread(rnd, noServerRetryAfter)}
 }
 
+// nearest draws from the node's own zone, and from the rest of its region if that has nobody or is
+// full.
+func (r *Router) nearest(now time.Time, rnd *rand.Rand, s *service, q *Query) (drawing, int) {
+	zone := r.draw(now, rnd, s, tierZone, q)
+	if zone.best != nil && (zone.score < spillScore || zone.trial) {
+		return zone, tierZone
+	}
+	region := r.draw(now, rnd, s, tierRegion, q)
+	if region.best != nil && region.score < zone.score {
+		return region, tierRegion
+	}
+	zone.refusing, zone.level = zone.refusing || region.refusing, min(zone.level, region.level)
+	return zone, tierZone
+}
+
+// mayCross reports whether a call may go over the paid link: where the region has nobody to take it,
+// or those who would let it wait for long. What the region refuses for load is not sent there, as the
+// other region's load is most often no lower.
+func (r *Router) mayCross(d drawing) bool {
+	if d.best == nil {
+		return !d.refusing
+	}
+	return d.score >= crossScore && !d.trial
+}
+
+const (
+	// spillScore is the load, as a part of the limit, from which on a zone counts as full: one more
+	// call would wait. crossScore is one at which it would wait about as long as it takes to run
+	// twice.
+	spillScore = 1
+	crossScore = 3
+)
+
 const (
 	// noServerRetryAfter and overloadRetryAfter are the means of RetryAfter.
 	noServerRetryAfter = time.Second
@@ -187,6 +219,8 @@
 type drawing struct {
 	best  *entry
 	trial bool
+	// score is the load of best; infinite without one.
+	score float64
 	// refusing says that one was passed over because it admits no such call, and level is the
 	// lowest level of those.
 	refusing bool
@@ -194,13 +228,13 @@
 }
 
 func (r *Router) draw(now time.Time, rnd *rand.Rand, s *service, tier int, q *Query) drawing {
-	d := drawing{level: dfpcall.MaxLevel}
+	d := drawing{level: dfpcall.MaxLevel, score: math.Inf(1)}
 	entries := s.tiers[tier]
 	n := len(entries)
 	if n == 0 {
 		return d
 	}
-	found, bestScore := 0, 0.0
+	found := 0
 	order := newOrder(rnd, n)
 	for i := range min(n, maxDraws) {
 		e := entries[order.at(rnd, i)]
@@ -219,8 +253,8 @@
 			continue
 		}
 		score := e.state.score(now, e.vm.Slots)
-		if found == 0 || score < bestScore {
-			d.best, bestScore = e, score
+		if score < d.score {
+			d.best, d.score = e, score
 		}
 		if found++; found == 2 || r.cfg.RandomOnly {
 			break
