--- /dev/null
+++ b/internal/zone/dfpquota/dfpquota_test.go
@@ -0,0 +1,252 @@
+package dfpquota_test
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"dragonflyport/internal/zone/dfpquota"
+)
+
+var epoch = time.Unix(1000, 0)
+
+var config = dfpquota.Config{Window: 5 * time.Second, Overage: 0.1, Slack: 20}
+
+// world is a fleet of keepers in virtual time whose messages take linkDelay.
+type world struct {
+	now     time.Time
+	keepers map[string]*dfpquota.Keeper
+	// cut nodes send and get no message.
+	cut  map[string]bool
+	wire []letter
+	// runs are the times at which requests ran.
+	runs []time.Time
+	// asked counts requests.
+	asked int
+}
+
+type letter struct {
+	due      time.Time
+	from, to string
+	message  dfpquota.Message
+}
+
+const (
+	linkDelay = 20 * time.Millisecond
+	step      = 10 * time.Millisecond
+	buyer     = "waldspiel"
+)
+
+func name(i int) string { return fmt.Sprintf("node-%02d", i) }
+
+func newWorld(nodes int, o dfpquota.Organisation) *world {
+	w := &world{now: epoch, keepers: map[string]*dfpquota.Keeper{}, cut: map[string]bool{}}
+	for i := range nodes {
+		w.start(name(i), nodes, o)
+	}
+	return w
+}
+
+// start puts a new process in a node's place.
+func (w *world) start(node string, nodes int, o dfpquota.Organisation) {
+	cfg := config
+	cfg.Self = node
+	k := dfpquota.New(w.now, cfg)
+	k.SetRules(w.now, []dfpquota.Organisation{o})
+	k.SetFleet(w.now, dfpquota.Fleet{Nodes: nodes, Allotter: name(0)})
+	w.keepers[node] = k
+}
+
+func (w *world) send(from string, sends []dfpquota.Send) {
+	for _, s := range sends {
+		if !w.cut[from] && !w.cut[s.To] {
+			w.wire = append(w.wire, letter{w.now.Add(linkDelay), from, s.To, s.Message})
+		}
+	}
+}
+
+// advance moves the time on by one step.
+func (w *world) advance() {
+	w.now = w.now.Add(step)
+	due := w.wire
+	w.wire = nil
+	for _, l := range due {
+		switch {
+		case w.cut[l.from] || w.cut[l.to]:
+		case l.due.After(w.now):
+			w.wire = append(w.wire, l)
+		default:
+			w.send(l.to, w.keepers[l.to].Handle(w.now, l.from, l.message))
+		}
+	}
+	if w.now.Sub(epoch)%dfpquota.TickInterval != 0 {
+		return
+	}
+	for i := range len(w.keepers) {
+		w.send(name(i), w.keepers[name(i)].Tick(w.now))
+	}
+}
+
+// ask makes one request at a node. A request that waits is decided again after the answer's way.
+func (w *world) ask(node string) {
+	w.asked++
+	verdict, sends := w.keepers[node].Take(w.now, buyer, false)
+	w.send(node, sends)
+	switch verdict.(type) {
+	case *dfpquota.Granted:
+		w.runs = append(w.runs, w.now)
+	case *dfpquota.Waiting:
+		w.wire = append(w.wire, letter{})
+		w.wire = w.wire[:len(w.wire)-1]
+		for range 2 * linkDelay / step {
+			w.advance()
+		}
+		w.advance()
+		if again, sends := w.keepers[node].Take(w.now, buyer, true); again != nil {
+			w.send(node, sends)
+			if _, ok := again.(*dfpquota.Granted); ok {
+				w.runs = append(w.runs, w.now)
+			}
+		}
+	}
+}
+
+// worst returns the most requests that ran in one window.
+func (w *world) worst() int {
+	most, first := 0, 0
+	for last := range w.runs {
+		for w.runs[last].Sub(w.runs[first]) >= config.Window {
+			first++
+		}
+		most = max(most, last-first+1)
+	}
+	return most
+}
+
+func allowed(o dfpquota.Organisation) int {
+	return int((o.Rate*config.Window.Seconds()+o.Burst)*(1+config.Overage) + config.Slack)
+}
+
+// TestSurgeStaysWithinRate floods a fleet while nodes are cut off, restart, or all restart at once.
+func TestSurgeStaysWithinRate(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		o := dfpquota.Organisation{Name: buyer, Rate: float64(rapid.IntRange(10, 300).Draw(t, "rate"))}
+		o.Burst = o.Rate
+		nodes := rapid.IntRange(2, 20).Draw(t, "nodes")
+		rnd := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+		w := newWorld(nodes, o)
+		for range 1500 {
+			w.advance()
+			switch p := rnd.Float64(); {
+			case p < 0.001:
+				for i := range nodes {
+					w.start(name(i), nodes, o)
+				}
+				w.wire = nil
+			case p < 0.004:
+				w.start(name(rnd.IntN(nodes)), nodes, o)
+			case p < 0.008:
+				node := name(rnd.IntN(nodes))
+				w.cut[node] = !w.cut[node]
+			}
+			for range 1 + int(3*o.Rate*step.Seconds()) {
+				w.ask(name(rnd.IntN(nodes)))
+			}
+		}
+		if most := w.worst(); most > allowed(o) {
+			t.Fatalf("%d requests ran in a window that allows %d (%d nodes, rate %g)", most, allowed(o), nodes, o.Rate)
+		}
+	})
+}
+
+// TestFewAreRefusedWithinRate sends nine tenths of the rate in clumps to nodes at random.
+func TestFewAreRefusedWithinRate(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		rate  float64
+		nodes int
+		clump int
+	}{
+		{"one at a time", 60, 18, 1},
+		{"in clumps", 60, 18, 8},
+		{"small rate", 20, 18, 2},
+		{"large rate", 300, 18, 8},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			o := dfpquota.Organisation{Name: buyer, Rate: tc.rate, Burst: tc.rate}
+			w := newWorld(tc.nodes, o)
+			rnd := rand.New(rand.NewPCG(7, 7))
+			for w.now.Sub(epoch) < 10*time.Second {
+				w.advance()
+			}
+			due := 0.0
+			for w.now.Sub(epoch) < 60*time.Second {
+				before := w.now
+				w.advance()
+				due += w.now.Sub(before).Seconds() * 0.9 * tc.rate / float64(tc.clump) * 2 * rnd.Float64()
+				for ; due >= 1; due-- {
+					node := name(rnd.IntN(tc.nodes))
+					for range tc.clump {
+						at := w.now
+						w.ask(node)
+						due += w.now.Sub(at).Seconds() * 0.9 * tc.rate / float64(tc.clump)
+					}
+				}
+			}
+			refused := 1 - float64(len(w.runs))/float64(w.asked)
+			assert.Assert(t, refused < 0.02, "%.3f of %d refused", refused, w.asked)
+			assert.Assert(t, w.worst() <= allowed(o))
+		})
+	}
+}
+
+func TestWithoutLimitNothingIsRefused(t *testing.T) {
+	k := dfpquota.New(epoch, config)
+	k.SetRules(epoch, []dfpquota.Organisation{{Name: buyer}})
+	for _, organisation := range []string{buyer, "nobody"} {
+		for range 100 {
+			verdict, sends := k.Take(epoch, organisation, false)
+			assert.DeepEqual(t, verdict, &dfpquota.Granted{})
+			assert.Equal(t, len(sends), 0)
+		}
+	}
+}
+
+func TestNewProcessStartsEmpty(t *testing.T) {
+	k := dfpquota.New(epoch, config)
+	k.SetRules(epoch, []dfpquota.Organisation{{Name: buyer, Rate: 100, Burst: 100}})
+	verdict, _ := k.Take(epoch, buyer, false)
+	refused, ok := verdict.(*dfpquota.Refused)
+	assert.Assert(t, ok)
+	assert.Assert(t, refused.RetryAfter > 0)
+}
+
+func TestLoweredRateBindsAtOnce(t *testing.T) {
+	o := dfpquota.Organisation{Name: buyer, Rate: 400, Burst: 400}
+	w := newWorld(4, o)
+	for w.now.Sub(epoch) < 10*time.Second {
+		w.advance()
+	}
+	o.Rate, o.Burst = 4, 4
+	for _, k := range w.keepers {
+		k.SetRules(w.now, []dfpquota.Organisation{o})
+	}
+	lowered := w.now
+	for w.now.Sub(lowered) < 20*time.Second {
+		w.advance()
+		w.ask(name(int(w.now.UnixNano()/int64(step)) % 4))
+	}
+	late := 0
+	for _, at := range w.runs {
+		if at.Sub(lowered) > config.Window {
+			late++
+		}
+	}
+	windows := math.Ceil(15 / config.Window.Seconds())
+	assert.Assert(t, float64(late) <= windows*float64(allowed(o)), "%d ran", late)
+}
--- a/internal/zone/dfproute/dfproute.go
+++ b/internal/zone/dfproute/dfproute.go
@@ -48,6 +48,12 @@
 	NoSetAside bool
 	// NoEarlyRefusal turns refusal by reported admission off.
 	NoEarlyRefusal bool
+	// SpillWhenFull sends calls to other availability zones of the region where the VM drawn in the
+	// own one is full.
+	SpillWhenFull bool
+	// StayInRegion keeps calls from crossing regions because the own region refuses them for load: they cross only
+	// where it has nobody to take them, or those who would let them wait for long.
+	StayInRegion bool
 	// RandomOnly draws one VM at random, without regard to load.
 	RandomOnly bool
 }
--- a/internal/zone/dfproute/router.go
+++ b/internal/zone/dfproute/router.go
@@ -175,7 +175,7 @@
 // full.
 func (r *Router) nearest(now time.Time, rnd *rand.Rand, s *service, q *Query) (drawing, int) {
 	zone := r.draw(now, rnd, s, tierZone, q)
-	if zone.best != nil && (zone.score < spillScore || zone.trial) {
+	if zone.best != nil && (!r.cfg.SpillWhenFull || zone.score < spillScore || zone.trial) {
 		return zone, tierZone
 	}
 	region := r.draw(now, rnd, s, tierRegion, q)
@@ -186,14 +186,12 @@
 	return zone, tierZone
 }
 
-// mayCross reports whether a call may go over the paid link: where the region has nobody to take it,
-// or those who would let it wait for long. What the region refuses for load is not sent there, as the
-// other region's load is most often no lower.
+// mayCross reports whether a call may go over the paid link, with what was drawn in the own region.
 func (r *Router) mayCross(d drawing) bool {
 	if d.best == nil {
-		return !d.refusing
+		return !d.refusing || !r.cfg.StayInRegion
 	}
-	return d.score >= crossScore && !d.trial
+	return r.cfg.StayInRegion && d.score >= crossScore && !d.trial
 }
 
 const (
