--- a/internal/zone/dfpquota/dfpquota.go
+++ b/internal/zone/dfpquota/dfpquota.go
@@ -54,17 +54,18 @@
 	// FloorPart is the part of each rate that nodes without an allotment divide evenly. The rest is
 	// left for a fleet whose size they know only about.
 	FloorPart = 0.8
-	// ReservePart is the part of each rate for nodes that run short.
-	ReservePart = 0.6
-	// reserveSlackPart is the part of the tolerance that the reserve may hold.
-	reserveSlackPart = 0.3
+	// ReservePart is the part of each rate for nodes that run short. The rest, by which nodes have
+	// tokens at once, is small, since what a full bucket does not take is lost.
+	ReservePart = 0.85
+	// tokenLife is how long a bucket may hold more than its capacity without a request.
+	tokenLife = time.Second
 	// AskLife is how long a node, and its requests, wait for tokens that it has asked for: twice
 	// the way between two regions there and back.
 	AskLife = 100 * time.Millisecond
 	// deniedTime is how long a node asks for none after it got too few.
 	deniedTime = 100 * time.Millisecond
 	// spotHorizon is how much of its demand a node asks for at once.
-	spotHorizon = 300 * time.Millisecond
+	spotHorizon = 400 * time.Millisecond
 	// sparePart is the part of a rate that is divided evenly among the nodes however much some are
 	// asked for, so that a node's first requests in an organisation's name find tokens.
 	sparePart = 0.05
@@ -153,6 +154,8 @@
 	Held uint64 `cbor:"4,keyasint,omitempty"`
 	// Spot asks for tokens at once, or brings them; PerSecond then is their number.
 	Spot *Demand `cbor:"5,keyasint,omitempty"`
+	// Asked is, in the answer to Spot, how many were asked for.
+	Asked float64 `cbor:"6,keyasint,omitempty"`
 	// Demands are the report's, or in the answer what the node may use.
 	Demands []Demand `cbor:"3,keyasint,omitempty"`
 }
--- a/internal/zone/dfpquota/keeper.go
+++ b/internal/zone/dfpquota/keeper.go
@@ -184,6 +184,9 @@
 	}
 	rate := min(k.rate(b.at, b), k.rate(now, b))
 	b.at = now
+	if elapsed > tokenLife.Seconds() {
+		b.tokens = min(b.tokens, k.capacity(now, b))
+	}
 	b.tokens = max(b.tokens, min(b.tokens+rate*elapsed, k.capacity(now, b)))
 }
 
@@ -261,9 +264,9 @@
 		return nil
 	}
 	o := b.organisation
-	window := ReservePart*k.cfg.sustained(o)*k.cfg.Window.Seconds() + reserveSlackPart*k.cfg.tolerance(o)
+	window := ReservePart * k.cfg.sustained(o) * k.cfg.Window.Seconds()
 	number := k.allotter.spot(now, ask, k.cfg.Window, window)
-	answer := Message{Spot: &Demand{ask.Organisation, number}}
+	answer := Message{Spot: &Demand{ask.Organisation, number}, Asked: ask.PerSecond}
 	if from == k.cfg.Self {
 		k.take(now, answer)
 		return nil
@@ -288,10 +291,10 @@
 		if b := k.buckets[m.Spot.Organisation]; b != nil {
 			k.refill(now, b)
 			b.tokens += m.Spot.PerSecond
-			if m.Spot.PerSecond < b.asked {
+			if m.Spot.PerSecond < m.Asked {
 				b.deniedUntil = now.Add(deniedTime)
 			}
-			b.asked, b.wanted = 0, 0
+			b.asked, b.wanted = max(0, b.asked-m.Asked), max(0, b.wanted-m.Spot.PerSecond)
 		}
 		return
 	}
