--- a/internal/zone/dfpquota/allotter.go
+++ b/internal/zone/dfpquota/allotter.go
@@ -97,6 +97,8 @@
 	}
 	if !a.hasMajority {
 		a.hasMajority, a.majoritySince = true, now
+		// Meanwhile nodes have used their floors, or another allotter's reserve.
+		a.reserves = map[string]*reserve{}
 	}
 	return now.Sub(a.majoritySince) >= AllotmentLife
 }
--- a/internal/zone/dfpquota/dfpquota.go
+++ b/internal/zone/dfpquota/dfpquota.go
@@ -53,7 +53,7 @@
 	AllotmentLife = 2500 * time.Millisecond
 	// FloorPart is the part of each rate that nodes without an allotment divide evenly. The rest is
 	// left for a fleet whose size they know only about.
-	FloorPart = 0.8
+	FloorPart = 0.6
 	// ReservePart is the part of each rate for nodes that run short. The rest, by which nodes have
 	// tokens at once, is small, since what a full bucket does not take is lost.
 	ReservePart = 0.85
