--- a/internal/vm/dfpguard/steer.go
+++ b/internal/vm/dfpguard/steer.go
@@ -19,7 +19,10 @@
 	// whole range takes four seconds, several times the time until an entry's refusals show here.
 	steerGain = 90.0
 	// maxSteerError bounds how much faster the level rises when calls wait longer still.
-	maxSteerError = 4.0
+	maxSteerError = 2.5
+	// steerOpening is how much faster the level falls for each slot that stands idle, as a part of
+	// them all: idle slots show that too much is refused.
+	steerOpening = 4.0
 	// steerBusy is the part of the slots in use from which on the level is not lowered: there is
 	// nothing to gain.
 	steerBusy = 0.93
@@ -39,8 +42,11 @@
 	s.opened = now
 	elapsed := min(age, 2*window).Seconds()
 	deviation := min(float64(waiting)/float64(steerTarget)-1, maxSteerError)
-	if deviation < 0 && usage > steerBusy {
-		return
+	if deviation < 0 {
+		if usage > steerBusy {
+			return
+		}
+		deviation *= 1 + steerOpening*(steerBusy-usage)
 	}
 	s.level = min(max(s.level+steerGain*elapsed*deviation, 0), maxSteerLevel)
 }
--- a/internal/vm/dfpnode/dfpnode.go
+++ b/internal/vm/dfpnode/dfpnode.go
@@ -128,6 +128,9 @@
 	// Quota, if not nil, keeps the organisations' rates by dfpquota in place of dfpshare, whose
 	// zones' parts have to be configured.
 	Quota *dfpquota.Config
+	// Watchers is how many nodes of a zone watch the platform and read the rules there; 0 takes the
+	// defaults of dfproster and dfpconfig.
+	Watchers int
 	// OpenIsNested says that requests on open routes are calls that this VM's backend server makes.
 	OpenIsNested bool
 	// SpareNested and SlotsPart are dfpguard's.
--- a/internal/vm/dfpnode/dfpnode_config.go
+++ b/internal/vm/dfpnode/dfpnode_config.go
@@ -41,7 +41,7 @@
 	l.n = n
 	l.state = dfpconfig.New(dfpconfig.Config{
 		Self: n.cfg.VM.Address, Zone: n.cfg.VM.Zone, Region: n.cfg.VM.Region,
-		Seeds: n.cfg.Seeds, StaleAfter: n.cfg.StaleAfter, Parse: n.cfg.ParseRules,
+		Seeds: n.cfg.Seeds, StaleAfter: n.cfg.StaleAfter, Parse: n.cfg.ParseRules, Watchers: n.cfg.Watchers,
 	})
 	l.rnd = n.newRand(streamConfig)
 }
--- a/internal/vm/dfpnode/dfpnode_entry.go
+++ b/internal/vm/dfpnode/dfpnode_entry.go
@@ -199,7 +199,11 @@
 func (n *Node) newRootRequest(t target, in *dfpcaller.Incoming) *dfpcall.Request {
 	root := n.newID()
 	name := t.route.ServiceAt(spreadPoint(root.Counter))
-	importance, cohort := t.rules.Rank(t.route, t.organisation, dfpcall.CohortOf(root))
+	cohort := dfpcall.CohortOf(root)
+	if n.policy.cameBack(t.route.ID(), in.Timeout) {
+		cohort = 0 // The last of its importance to be refused: it was refused before.
+	}
+	importance, cohort := t.rules.Rank(t.route, t.organisation, cohort)
 	budget := 0
 	if service, ok := t.rules.Service(name); ok {
 		budget = service.Retries
--- a/internal/vm/dfpnode/dfpnode_policy.go
+++ b/internal/vm/dfpnode/dfpnode_policy.go
@@ -22,12 +22,20 @@
 
 	mu      sync.Mutex
 	repeats *dfpretry.CallerRepeats
+	returns dfpretry.Returns
 }
 
 func (p *entryPolicy) init() {
 	p.repeats = dfpretry.NewCallerRepeats(dfpretry.CallerConfig{})
 }
 
+// cameBack reports whether a request has come back after a refusal.
+func (p *entryPolicy) cameBack(route string, left time.Duration) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.returns.CameBack(route, left)
+}
+
 // setRules forgets the organisations that the rules no longer name.
 func (p *entryPolicy) setRules(rules *dfprules.Ruleset) {
 	named := func(organisation string) bool {
--- a/internal/vm/dfpnode/dfpnode_roster.go
+++ b/internal/vm/dfpnode/dfpnode_roster.go
@@ -36,13 +36,14 @@
 	// announce holds one wish to write this VM's entry anew.
 	announce chan struct{}
 	// writing is held while the entry is written; it guards lease.
-	writing sync.Mutex
-	lease   uint64
+	writing  sync.Mutex
+	lease    uint64
+	revision uint64 // Of the entry, as far as is known.
 }
 
 func (l *rosterLoop) init(n *Node) {
 	l.n = n
-	l.roster = dfproster.New(dfproster.Config{Self: n.cfg.VM, Seeds: n.cfg.Seeds})
+	l.roster = dfproster.New(dfproster.Config{Self: n.cfg.VM, Seeds: n.cfg.Seeds, Watchers: n.cfg.Watchers})
 	l.rnd = n.newRand(streamRoster)
 	l.announce = make(chan struct{}, 1)
 	l.announce <- struct{}{}
@@ -208,15 +209,17 @@
 			return err
 		}
 	}
-	key := dfproster.Key(self)
-	entry, err := platform.Get(ctx, key)
-	if err != nil {
-		return err
+	write := dfpplatform.Write{Key: dfproster.Key(self), Expected: l.revision, Value: value, Lease: l.lease}
+	entry, err := platform.CompareAndSwap(ctx, write)
+	if errors.Is(err, dfpplatform.ErrConflict) {
+		// The entry is an earlier process's, or this one's whose answer was lost.
+		write.Expected = entry.Revision
+		entry, err = platform.CompareAndSwap(ctx, write)
 	}
-	_, err = platform.CompareAndSwap(ctx, dfpplatform.Write{
-		Key: key, Expected: entry.Revision, Value: value, Lease: l.lease,
-	})
-	if errors.Is(err, dfpplatform.ErrInvalid) {
+	switch {
+	case err == nil:
+		l.revision = entry.Revision
+	case errors.Is(err, dfpplatform.ErrInvalid):
 		l.lease = 0
 	}
 	return err
--- a/internal/zone/dfproster/dfproster.go
+++ b/internal/zone/dfproster/dfproster.go
@@ -87,6 +87,8 @@
 	Self dfpvm.VM
 	// Seeds are addresses of nodes asked when no peer is known.
 	Seeds []string
+	// Watchers is how many nodes of a zone watch the platform; 0 takes WatchersPerZone.
+	Watchers int
 	// AcceptOldNews turns the order of versions off; it is there for tests that
 	// show what the order is for.
 	AcceptOldNews bool
--- a/internal/zone/dfproster/roster.go
+++ b/internal/zone/dfproster/roster.go
@@ -64,6 +64,9 @@
 	if cfg.Self.Address == "" || cfg.Self.Zone == "" {
 		panic("dfproster: Self needs an address and a zone")
 	}
+	if cfg.Watchers == 0 {
+		cfg.Watchers = WatchersPerZone
+	}
 	r := &Roster{cfg: cfg, self: cfg.Self, records: make(map[string]*record), zones: make(map[string]*zone), stale: true}
 	r.insert(cfg.Self)
 	r.spread(cfg.Self.Address, false)
@@ -245,7 +248,7 @@
 			before++
 		}
 	}
-	return before < WatchersPerZone
+	return before < r.cfg.Watchers
 }
 
 func insertSorted(list []string, s string) []string {
--- a/internal/zone/dfproute/router.go
+++ b/internal/zone/dfproute/router.go
@@ -153,7 +153,7 @@
 	best, tier := r.nearest(now, rnd, s, &q)
 	refusing, level := best.refusing, best.level
 	if r.mayCross(best) {
-		if d := r.draw(now, rnd, s, tierCross, &q); d.best != nil && d.score < best.score {
+		if d := r.draw(now, rnd, s, tierCross, &q); d.best != nil && d.score < best.score && (best.best == nil || d.score < roomScore) {
 			if reserved, ok := r.cross.reserve(now, q.Importance, s.stats.expectedBytes()); ok {
 				return r.target(now, s, d, tierCross, reserved)
 			}
@@ -196,10 +196,11 @@
 
 const (
 	// spillScore is the load, as a part of the limit, from which on a zone counts as full: one more
-	// call would wait. crossScore is one at which it would wait about as long as it takes to run
-	// twice.
+	// call would wait. crossScore is one at which it would wait for a third of a service time, more
+	// than the way to another region and back takes, and roomScore one of a VM there that has room.
 	spillScore = 1
-	crossScore = 3
+	crossScore = 1.3
+	roomScore  = 0.85
 )
 
 const (
