--- a/internal/vm/dfpnode/dfpnode.go
+++ b/internal/vm/dfpnode/dfpnode.go
@@ -148,6 +148,9 @@
 	Repeats *dfpretry.FleetConfig
 	// GoodbyeTime is how long a stopping node still takes requests; 0 takes DefaultGoodbyeTime.
 	GoodbyeTime time.Duration
+	// DrainLast lets the backend server have new work until the goodbye is over, where it outlives the
+	// node: a node that is only started anew takes its backend server out for less time.
+	DrainLast bool
 	// KeepKeys passes callers' keys on to backend servers. Only the test that proves the
 	// removal of keys sets it.
 	KeepKeys bool
--- a/internal/vm/dfpnode/dfpnode_run.go
+++ b/internal/vm/dfpnode/dfpnode_run.go
@@ -157,7 +157,8 @@
 
 // shutdown stops the node without cutting a request in progress:
 //
-//  1. The VM is announced as draining, and the guard admits no new request.
+//  1. The VM is announced as draining, and the guard admits no new request; with DrainLast
+//     after the next step.
 //  2. The callers are told with their next answer that their connection closes. Those
 //     on connections that stay idle until then find them closed.
 //  3. What runs on the backend server ends; its nested calls still leave through
@@ -169,8 +170,11 @@
 	defer cancel()
 	n.cfg.Log.Info("graceful shutdown begins")
 	n.stopping.Store(true)
-	n.Drain()
+	if !n.cfg.DrainLast {
+		n.Drain()
+	}
 	n.sayGoodbye(ctx, all.leave)
+	n.Drain()
 	for _, s := range all.callers {
 		if err := s.http.Shutdown(ctx); err != nil {
 			n.cfg.Log.WithError(err).Warn("callers' requests were cut")
