--- a/cmd/dragonflyport/main.go
+++ b/cmd/dragonflyport/main.go
@@ -30,6 +30,7 @@
 	subcommands.Register(dfpcommand.Key(dfpcommand.Config{}), "operating")
 	subcommands.Register(&dfpprocess.StateCommand{}, "operating")
 	subcommands.Register(&dfpprocess.DrainCommand{}, "operating")
+	subcommands.Register(&explainCommand{}, "operating")
 	subcommands.Register(&dfpprocess.VersionCommand{}, "operating")
 	flag.Parse()
 	os.Exit(int(subcommands.Execute(context.Background())))
--- a/internal/contract/dfpcall/dfpcall.go
+++ b/internal/contract/dfpcall/dfpcall.go
@@ -140,6 +140,8 @@
 	CallerID string `cbor:"caller_id,omitempty"`
 	// CallerService is the service of the VM where the request began.
 	CallerService string `cbor:"caller_service,omitempty"`
+	// Steps are the attempts so far, for whoever explains how the request ended.
+	Steps []Step `cbor:"-"`
 	// Instance is the backend server that must run it. The guard sets it.
 	Instance string `cbor:"-"`
 
@@ -151,6 +153,14 @@
 	Body   []byte              `cbor:"body,omitempty"`
 }
 
+// Step is one attempt to run a request.
+type Step struct {
+	// VM is the address where it was sent; empty if none could be chosen.
+	VM      string
+	Took    time.Duration
+	Outcome Outcome
+}
+
 // Outcome is how a call ended: *Answer, *NotRun or *Unknown.
 type Outcome interface{ outcome() }
 
--- /dev/null
+++ b/internal/operator/dfplog/explain.go
@@ -0,0 +1,110 @@
+package dfplog
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"sort"
+	"time"
+
+	"dragonflyport/internal/vm/dfpevent"
+)
+
+// ErrNoRequest is wrapped by Explain's error where no log names the request.
+var ErrNoRequest = errors.New("no line names the request")
+
+// maxLine is the longest line in bytes that is read.
+const maxLine = 1 << 20
+
+// Source is one node's log.
+type Source struct {
+	Name string
+	Log  io.Reader
+}
+
+// logLine is the part of a line that explains a request.
+type logLine struct {
+	Timestamp time.Time `json:"timestamp"`
+	Message   string    `json:"message"`
+	Fields    struct {
+		Event  string           `json:"event"`
+		Detail dfpevent.Request `json:"detail"`
+	} `json:"fields"`
+
+	source string
+}
+
+// Explain writes, in the order of time, what the nodes' logs say of a request. The error wraps
+// ErrNoRequest if none names it.
+func Explain(w io.Writer, id string, sources []Source) error {
+	var found []logLine
+	for _, source := range sources {
+		lines, err := linesOf(id, source)
+		if err != nil {
+			return fmt.Errorf("%s: %w", source.Name, err)
+		}
+		found = append(found, lines...)
+	}
+	if len(found) == 0 {
+		return fmt.Errorf("%w %s: it succeeded, came to another node, or its line was left out", ErrNoRequest, id)
+	}
+	sort.SliceStable(found, func(i, j int) bool { return found[i].Timestamp.Before(found[j].Timestamp) })
+	for _, line := range found {
+		if err := line.explain(w); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func linesOf(id string, source Source) ([]logLine, error) {
+	var found []logLine
+	scanner := bufio.NewScanner(source.Log)
+	scanner.Buffer(nil, maxLine)
+	for scanner.Scan() {
+		if !bytes.Contains(scanner.Bytes(), []byte(id)) {
+			continue
+		}
+		var line logLine
+		if json.Unmarshal(scanner.Bytes(), &line) != nil {
+			continue // Other programs may write to the same log.
+		}
+		if line.Fields.Event == dfpevent.NameRequest && line.Fields.Detail.ID == id {
+			line.source = source.Name
+			found = append(found, line)
+		}
+	}
+	return found, scanner.Err()
+}
+
+func (l logLine) explain(w io.Writer) error {
+	r := l.Fields.Detail
+	var out bytes.Buffer
+	fmt.Fprintf(&out, "%s %s: request %s of %q on %s for service %s\n",
+		l.Timestamp.Format(time.RFC3339Nano), l.source, r.ID, r.Organisation, r.Route, r.Service)
+	fmt.Fprintf(&out, "  decided by rules version %d, known to be the newest %d ms before\n", r.RulesVersion, r.RulesAgeMs)
+	for i, a := range r.Attempts {
+		at := a.VM
+		if at == "" {
+			at = "no VM could be chosen"
+		}
+		fmt.Fprintf(&out, "  attempt %d: %s: %s %s after %d ms\n", i+1, at, a.Outcome, describe(a.Reason, a.Status), a.TookMs)
+	}
+	fmt.Fprintf(&out, "  ended as %s %s after %d ms", r.Outcome, describe(r.Reason, r.Status), r.HeldMs)
+	if r.RetryAfterMs > 0 {
+		fmt.Fprintf(&out, ", to come back after %d ms", r.RetryAfterMs)
+	}
+	fmt.Fprintln(&out)
+	_, err := w.Write(out.Bytes())
+	return err
+}
+
+func describe(reason string, status int) string {
+	if status > 0 {
+		return fmt.Sprintf("with status %d", status)
+	}
+	return "because of " + reason
+}
--- a/internal/operator/dfpprocess/dfpprocess.go
+++ b/internal/operator/dfpprocess/dfpprocess.go
@@ -11,7 +11,6 @@
 	"context"
 	"flag"
 	"fmt"
-	"io"
 	"net"
 	"os"
 	"os/signal"
@@ -68,7 +67,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitUsage
 	}
-	logger := NewLogger(os.Stderr, c.settings.LogLevel)
+	logger := NewLogger(json.New(os.Stderr), c.settings.LogLevel)
 	cfg, err := nodeConfig(c.settings, logger)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -106,13 +105,14 @@
 	}
 }
 
-// NewLogger returns a logger that writes JSON lines of a level and above; info if it has no such name.
-func NewLogger(w io.Writer, level string) *log.Logger {
+// NewLogger returns a logger that hands lines of a level and above to a handler; info if it has no such
+// name.
+func NewLogger(handler log.Handler, level string) *log.Logger {
 	parsed, err := log.ParseLevel(level)
 	if err != nil {
 		parsed = log.InfoLevel
 	}
-	return &log.Logger{Handler: json.New(w), Level: parsed}
+	return &log.Logger{Handler: handler, Level: parsed}
 }
 
 // nodeConfig opens the listeners and makes the configuration from the settings.
--- a/internal/vm/dfpnode/dfpnode.go
+++ b/internal/vm/dfpnode/dfpnode.go
@@ -51,6 +51,7 @@
 	"dragonflyport/internal/link/dfpcaller"
 	"dragonflyport/internal/link/dfppeer"
 	"dragonflyport/internal/link/dfpplatform"
+	"dragonflyport/internal/vm/dfpevent"
 	"dragonflyport/internal/vm/dfpguard"
 	"dragonflyport/internal/vm/dfpvm"
 	"dragonflyport/internal/zone/dfpquota"
@@ -211,9 +212,11 @@
 
 // Node is one process. Its methods are safe for concurrent use.
 type Node struct {
-	cfg     Config
-	metrics metrics
-	counter atomic.Uint64 // of request ids
+	cfg        Config
+	metrics    metrics
+	prometheus *exported
+	journal    *dfpevent.Journal
+	counter    atomic.Uint64 // of request ids
 	// group runs everything that ends with the node.
 	group *errgroup.Group
 	// life ends when the graceful shutdown is over.
@@ -250,6 +253,8 @@
 	cfg = cfg.withDefaults()
 	n := &Node{cfg: cfg, group: new(errgroup.Group)}
 	n.serverLog.log = cfg.Log
+	n.journal = dfpevent.New(cfg.Log)
+	n.prometheus = newExported(n)
 	n.life, n.end = context.WithCancel(context.Background())
 	n.backend = cfg.Backend
 	n.router = dfproute.New(cfg.Route)
--- a/internal/vm/dfpnode/dfpnode_entry.go
+++ b/internal/vm/dfpnode/dfpnode_entry.go
@@ -81,8 +81,11 @@
 // NotRun.
 func (n *Node) serveCaller(ctx context.Context, in *dfpcaller.Incoming) dfpcall.Outcome {
 	n.metrics.callers.Add(1)
-	out := n.serveRoute(ctx, in)
+	started := time.Now()
+	var served dfpcall.Request
+	out := n.serveRoute(ctx, in, &served)
 	n.metrics.countOutcome(out)
+	n.account(in, &served, out, time.Since(started))
 	return out
 }
 
@@ -124,7 +127,8 @@
 
 // serveRoute runs a request whose body has been read. What the rules say is looked up
 // again, since the key may have been withdrawn meanwhile.
-func (n *Node) serveRoute(ctx context.Context, in *dfpcaller.Incoming) dfpcall.Outcome {
+// The request that it makes of it is left in served.
+func (n *Node) serveRoute(ctx context.Context, in *dfpcaller.Incoming, served *dfpcall.Request) dfpcall.Outcome {
 	t, refusal := n.targetOf(in)
 	if refusal != nil {
 		return refusal
@@ -134,7 +138,8 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeoutOf(t.route, in))
 	defer cancel()
-	req := n.newRootRequest(t, in)
+	*served = *n.newRootRequest(t, in)
+	req := served
 	if t.route.Open && n.cfg.OpenIsNested {
 		out := n.dispatch(ctx, req)
 		n.nested.learn(time.Now(), out)
--- a/internal/vm/dfpnode/dfpnode_guard.go
+++ b/internal/vm/dfpnode/dfpnode_guard.go
@@ -7,9 +7,8 @@
 	"sync"
 	"time"
 
-	"github.com/apex/log"
-
 	"dragonflyport/internal/contract/dfpcall"
+	"dragonflyport/internal/vm/dfpevent"
 	"dragonflyport/internal/vm/dfpguard"
 	"dragonflyport/internal/vm/dfpvm"
 )
@@ -103,9 +102,7 @@
 	if !fresh {
 		return
 	}
-	n.cfg.Log.WithFields(log.Fields{
-		"service": announced.Service, "backend_address": announced.Address, "slots": announced.Slots,
-	}).Info("backend server announced")
+	n.journal.Backend(time.Now(), dfpevent.Backend{Instance: announced.Instance, Service: announced.Service, State: "ready"})
 	n.roster.changeSelf(func(vm *dfpvm.VM) {
 		vm.Service, vm.BackendAddress, vm.Slots = announced.Service, announced.Address, announced.Slots
 		vm.Draining = g.isDraining()
@@ -121,7 +118,7 @@
 	}
 	g.mu.Unlock()
 	if lapsed {
-		g.n.cfg.Log.Warn("backend server has stopped announcing itself")
+		g.n.journal.Backend(now, dfpevent.Backend{State: "silent"})
 		g.n.roster.changeSelf(func(vm *dfpvm.VM) { vm.Service = "" })
 	}
 }
@@ -143,7 +140,7 @@
 	}
 	g.mu.Unlock()
 	if gone {
-		n.cfg.Log.WithField("instance", instance).Warn("backend server is gone")
+		n.journal.Backend(time.Now(), dfpevent.Backend{Instance: instance, State: "gone"})
 		n.roster.changeSelf(func(vm *dfpvm.VM) { vm.Service = "" })
 	}
 }
--- a/internal/vm/dfpnode/dfpnode_route.go
+++ b/internal/vm/dfpnode/dfpnode_route.go
@@ -21,7 +21,9 @@
 	offered := 0
 	n.repeats.count(req.Service)
 	for attempt := 1; ; attempt++ {
+		started := time.Now()
 		out, address := n.attempt(ctx, req, tried)
+		req.Steps = append(req.Steps, dfpcall.Step{VM: address, Took: time.Since(started), Outcome: out})
 		decision, ok := dfpretry.May(out, req.Idempotent, dfpretry.BudgetOf(out), attempt).(*dfpretry.Retry)
 		if !ok || address == "" || ctx.Err() != nil {
 			return out
