--- a/internal/vm/dfpnode/dfpnode.go
+++ b/internal/vm/dfpnode/dfpnode.go
@@ -244,6 +244,8 @@
 	policy  entryPolicy
 	// drainedByRule says that a rule drains this VM's backend server.
 	drainedByRule atomic.Bool
+	// platformLost says that the last call to the platform failed.
+	platformLost atomic.Bool
 	// stopping is set when the graceful shutdown begins.
 	stopping atomic.Bool
 }
--- a/internal/vm/dfpnode/dfpnode_account.go
+++ b/internal/vm/dfpnode/dfpnode_account.go
@@ -31,6 +31,22 @@
 	}
 }
 
+// heardPlatform takes in how a call to the platform ended, and logs when it is lost and back.
+func (n *Node) heardPlatform(err error) {
+	lost := err != nil
+	if lost {
+		n.metrics.platformFailures.Add(1)
+	}
+	if n.platformLost.Swap(lost) == lost {
+		return
+	}
+	dependency := dfpevent.Dependency{Name: "platform", Lost: lost}
+	if lost {
+		dependency.Reason = err.Error()
+	}
+	n.journal.Dependency(time.Now(), dependency)
+}
+
 // account counts how a caller's request ended, and writes its story to the log unless it succeeded.
 // req is empty if it was refused before it was looked at further.
 func (n *Node) account(in *dfpcaller.Incoming, req *dfpcall.Request, out dfpcall.Outcome, took time.Duration) {
--- a/internal/vm/dfpnode/dfpnode_config.go
+++ b/internal/vm/dfpnode/dfpnode_config.go
@@ -138,8 +138,8 @@
 	switch {
 	case errors.Is(err, dfpconfig.ErrHead):
 		l.n.cfg.Log.WithError(err).Error("rules not taken")
-	case err != nil:
-		l.n.metrics.platformFailures.Add(1)
+	default:
+		l.n.heardPlatform(err)
 	}
 	return head, err
 }
@@ -227,7 +227,7 @@
 	}
 	l.current.Store(next)
 	l.n.cfg.Log.WithField("version", version).WithField("by", next.Head.By).Info("rules in force")
-	if _, found := next.Set.Zone(l.n.cfg.VM.Zone); !found {
+	if _, found := next.Set.Zone(l.n.cfg.VM.Zone); !found && len(next.Set.Zones) > 0 {
 		l.n.cfg.Log.WithField("zone", l.n.cfg.VM.Zone).Warn("the rules do not name this node's availability zone")
 	}
 	l.n.applyRules(version, next.Set)
--- a/internal/vm/dfpnode/dfpnode_roster.go
+++ b/internal/vm/dfpnode/dfpnode_roster.go
@@ -173,8 +173,9 @@
 		case <-l.announce:
 		case <-pause.C:
 		}
-		if err := l.write(l.n.life); err != nil {
-			l.n.metrics.platformFailures.Add(1)
+		err := l.write(l.n.life)
+		l.n.heardPlatform(err)
+		if err != nil {
 			pause.Reset(announcePause)
 		}
 	}
--- a/internal/zone/dfproute/router_test.go
+++ b/internal/zone/dfproute/router_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -262,3 +263,37 @@
 	assert.NilError(t, group.Wait())
 	assert.Assert(t, served.Load() > 15_000)
 }
+
+// TestFullZones holds where calls go when the own zone or region is full.
+func TestFullZones(t *testing.T) {
+	load := func(inFlight int) dfpcall.Load {
+		return dfpcall.Load{InFlight: inFlight, Limit: 10, AdmitCohorts: dfpcall.Cohorts}
+	}
+	refusing := dfpcall.Load{InFlight: 10, Limit: 10, AdmitImportance: dfpcall.Critical, AdmitCohorts: dfpcall.Cohorts}
+	for _, tc := range []struct {
+		name  string
+		loads map[string]dfpcall.Load
+		want  string
+	}{
+		{"own zone has room", map[string]dfpcall.Load{"ost-1": load(5), "ost-2": load(0), "west-1": load(0)}, "ost-1"},
+		{"own zone is full", map[string]dfpcall.Load{"ost-1": load(12), "ost-2": load(3), "west-1": load(0)}, "ost-2"},
+		{"region is a little full", map[string]dfpcall.Load{"ost-1": load(11), "ost-2": load(11), "west-1": load(0)}, "ost"},
+		{"region makes wait, the other has room", map[string]dfpcall.Load{"ost-1": load(20), "ost-2": load(20), "west-1": load(2)}, "west-1"},
+		{"both make wait", map[string]dfpcall.Load{"ost-1": load(20), "ost-2": load(20), "west-1": load(10)}, "ost"},
+		{"region refuses for load", map[string]dfpcall.Load{"ost-1": refusing, "ost-2": refusing, "west-1": load(0)}, ""},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r := newRouter(dfproute.Config{SpillWhenFull: true, StayInRegion: true}, vmsOf(1, "ost-1", "ost-2", "west-1"))
+			for zone, l := range tc.loads {
+				r.Observe(epoch, zone+"/0", l)
+			}
+			switch c := r.Choose(epoch, newRand(), ordering).(type) {
+			case *dfproute.Target:
+				assert.Assert(t, tc.want != "" && strings.HasPrefix(c.VM.Zone, tc.want), "%s", c.VM.Zone)
+			case *dfproute.Refuse:
+				assert.Equal(t, tc.want, "")
+				assert.Equal(t, c.Reason, dfpcall.ReasonOverload)
+			}
+		})
+	}
+}
