Steer alone sets the level where nested calls are spared

Cause: found by TestSurgeOverADeepService (552 of 834 important requests taken in): the count by ranks sees only nested calls there and closed at once to the top.

--- a/internal/vm/dfpguard/guard.go
+++ b/internal/vm/dfpguard/guard.go
@@ -255,7 +255,8 @@
 		}
 		g.admission.advance(g.now, g.window(), g.queue, g.queueLimit())
 		if g.cfg.SpareNested {
-			g.admission.level = min(g.admission.level, int(maxSteerLevel))
+			// What it counts are nested calls, which its level must not refuse.
+			g.admission.level = 0
 		}
 	}
 	if g.stalled() {
