--- a/internal/zone/dfpquota/dfpquota.go
+++ b/internal/zone/dfpquota/dfpquota.go
@@ -48,12 +48,12 @@
 	TickInterval = 250 * time.Millisecond
 	// ReportInterval is the time between a node's reports; two may be lost before an allotment
 	// lapses.
-	ReportInterval = 750 * time.Millisecond
+	ReportInterval = 500 * time.Millisecond
 	// AllotmentLife is how long an allotment may be used, counted from when its report was sent.
-	AllotmentLife = 2500 * time.Millisecond
+	AllotmentLife = 1500 * time.Millisecond
 	// FloorPart is the part of each rate that nodes without an allotment divide evenly. The rest is
 	// left for a fleet whose size they know only about.
-	FloorPart = 0.6
+	FloorPart = 0.5
 	// ReservePart is the part of each rate for nodes that run short. The rest, by which nodes have
 	// tokens at once, is small, since what a full bucket does not take is lost.
 	ReservePart = 0.85
