--- a/internal/zone/dfpquota/dfpquota_test.go
+++ b/internal/zone/dfpquota/dfpquota_test.go
@@ -176,6 +176,24 @@
 	})
 }
 
+// TestAllotterThatComesBack cuts the allotter off in a surge: its reserve, unspent meanwhile, must not come
+// on top of the floors that the others used.
+func TestAllotterThatComesBack(t *testing.T) {
+	for _, away := range []time.Duration{time.Second, 3 * time.Second, 6 * time.Second} {
+		o := dfpquota.Organisation{Name: buyer, Rate: 130, Burst: 130}
+		w := newWorld(5, o)
+		for w.now.Sub(epoch) < 25*time.Second {
+			w.advance()
+			since := w.now.Sub(epoch) - 10*time.Second
+			w.cut[name(0)] = since >= 0 && since < away
+			for i := range 4 {
+				w.ask(name(i + 1))
+			}
+		}
+		assert.Assert(t, w.worst() <= allowed(o), "%d of %d ran after %v", w.worst(), allowed(o), away)
+	}
+}
+
 // TestFewAreRefusedWithinRate sends nine tenths of the rate in clumps to nodes at random.
 func TestFewAreRefusedWithinRate(t *testing.T) {
 	for _, tc := range []struct {
