--- a/internal/contract/dfprules/build.go
+++ b/internal/contract/dfprules/build.go
@@ -17,14 +17,12 @@
 	Services      []*Service
 	// Routes go by host and prefix.
 	Routes []*Route
-	Limits Limits
 }
 
 // Build makes a Ruleset of rules that were read from another format than the rules
 // file. The error wraps ErrBuild and names every fault; then there is no Ruleset.
 func Build(src Source) (*Ruleset, error) {
 	b := builder{set: newRuleset(), seen: map[string]bool{}}
-	b.set.limits = src.Limits
 	for _, z := range src.Zones {
 		b.add(z)
 		b.set.Zones = append(b.set.Zones, z)
@@ -105,9 +103,6 @@
 	b.set.hosts[r.Host][r.Prefix] = r
 }
 
-// Limits returns the bounds on what callers send.
-func (s *Ruleset) Limits() Limits { return s.limits }
-
 // Find returns the route of a request: by host and the longest prefix of the escaped path
 // where the rules name hosts, else as RouteOf does.
 func (s *Ruleset) Find(method, host, path string) (*Route, bool) {
@@ -157,16 +152,3 @@
 	}
 	return r.Split[len(r.Split)-1].Service
 }
-
-// Leads reports whether the route may send requests to a service.
-func (r *Route) Leads(service string) bool {
-	if len(r.Split) == 0 {
-		return r.Service == service
-	}
-	for _, part := range r.Split {
-		if part.Service == service && part.Weight > 0 {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/contract/dfprules/dfprules.go
+++ b/internal/contract/dfprules/dfprules.go
@@ -112,8 +112,6 @@
 	Retries int `json:"retries"`
 	// MaxBody is the largest body of a request, in bytes.
 	MaxBody int64 `json:"max_body"`
-	// HealthPath is where backend servers tell whether they are healthy; empty if unknown.
-	HealthPath string `json:"health_path,omitempty"`
 }
 
 // WhenStale says what becomes of a request while a node can't tell whether its
@@ -225,17 +223,6 @@
 	hosts map[string]map[string]*Route
 	// ranks numbers the pairs of ranks that can come, from the most important.
 	ranks map[rankPair]int
-	// limits are the bounds on what callers send; zero fields set none.
-	limits Limits
-}
-
-// Limits bound what a caller may send.
-type Limits struct {
-	HeaderBytes   int
-	BodyBytes     int64
-	HeaderTimeout time.Duration
-	// IdleTimeout is how long a connection may stay open without a request.
-	IdleTimeout time.Duration
 }
 
 // Rules returns all rules in the file's order.
--- a/internal/vm/dfpevent/dfpevent.go
+++ b/internal/vm/dfpevent/dfpevent.go
@@ -24,10 +24,8 @@
 // The names of events, in the field "event".
 const (
 	NameRequest = "request"
-	NameRules   = "rules"
 	NameBackend = "backend_server"
 	NameStore   = "platform"
-	NameNode    = "node"
 )
 
 // linesPerSecond is each event's budget. A node takes some hundred requests a second; this many lines
--- a/internal/vm/dfpnode/dfpnode.go
+++ b/internal/vm/dfpnode/dfpnode.go
@@ -306,9 +306,6 @@
 // KnowsRules reports whether any rules are in force here.
 func (n *Node) KnowsRules() bool { return n.config.rules() != nil }
 
-// Rules returns the rules in force, or nil.
-func (n *Node) Rules() *dfprules.Ruleset { return n.config.rules() }
-
 // runUnlessDrained runs a peer's request at this VM's guard. The peer may not have
 // heard yet of a rule that drains the backend server here.
 func (n *Node) runUnlessDrained(ctx context.Context, from string, req *dfpcall.Request) dfpcall.Outcome {
