Stand-in deployment: nodes dial while others are started

Ruled out: the product's own code, which only calls Dial. Before: two tests of dfpnode failed under the race detector. After: both pass, twice.

--- a/internal/standin/dfpdeployment/dfpdeployment.go
+++ b/internal/standin/dfpdeployment/dfpdeployment.go
@@ -19,6 +19,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/apex/log"
@@ -116,7 +117,8 @@
 	group  errgroup.Group
 	ctx    context.Context
 	cancel context.CancelFunc
-	zoneOf map[string]Zone // by link address
+	// zoneOf holds each VM's zone by its link address. VMs that run dial while others are still started.
+	zoneOf sync.Map
 	links  map[[2]string]*dfpforwarder.Link
 	// platformLinks lead from each zone to the platform, which stands in the first zone.
 	platformLinks map[string]*dfpforwarder.Link
@@ -126,7 +128,7 @@
 // Start brings a deployment up and returns when every node knows the rules and
 // a backend server of every service, or an error that wraps ErrNotReady.
 func Start(cfg Config) (*Deployment, error) {
-	d := &Deployment{cfg: cfg, Store: dfpstore.New(dfpstore.Config{}), zoneOf: map[string]Zone{}}
+	d := &Deployment{cfg: cfg, Store: dfpstore.New(dfpstore.Config{})}
 	d.ctx, d.cancel = context.WithCancel(context.Background())
 	d.makeLinks()
 	if err := d.start(); err != nil {
@@ -234,7 +236,8 @@
 func (d *Deployment) dialFrom(zone Zone) func(context.Context, string, string) (net.Conn, error) {
 	plain := new(net.Dialer)
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
-		to, ok := d.zoneOf[address]
+		found, ok := d.zoneOf.Load(address)
+		to, _ := found.(Zone)
 		if !ok || (to == zone && d.cfg.ZoneDelay == 0 && d.cfg.RegionDelay == 0) {
 			return plain.DialContext(ctx, network, address)
 		}
--- a/internal/standin/dfpdeployment/vm.go
+++ b/internal/standin/dfpdeployment/vm.go
@@ -38,7 +38,7 @@
 		EgressURL:   "http://" + l.egress.Addr().String(),
 		stopped:     make(chan struct{}),
 	}
-	d.zoneOf[vm.Address] = zone
+	d.zoneOf.Store(vm.Address, zone)
 	vm.Node = dfpnode.New(d.nodeConfig(zone, vm.Address, l))
 	vm.Backend = dfpbackendserver.New(d.backendConfig(service, l))
 	vm.Backend.Ledger.WatchSecrets(d.cfg.Secrets)
