--- a/internal/vm/dfpguard/steer_test.go
+++ b/internal/vm/dfpguard/steer_test.go
@@ -17,8 +17,8 @@
 	now     time.Time
 	next    dfpguard.Handle
 	running map[dfpguard.Handle]time.Time
-	// served and refused count nested calls; sparedHigh and all count requests of the highest
-	// client importance at the entry.
+	// served and refused count nested calls; the others count requests at the entry, all and those
+	// that it took in, by importance.
 	served, refused, highIn, highAll, lowIn, lowAll int
 }
 
--- a/internal/vm/dfpnode/dfpnode_run.go
+++ b/internal/vm/dfpnode/dfpnode_run.go
@@ -7,6 +7,7 @@
 	stdlog "log"
 	"net"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/apex/log"
@@ -34,10 +35,10 @@
 	egress := n.newEgressServer()
 	operator := n.newOperatorServer()
 	return n.serveUntil(ctx, servers{
-		callers: []bound{{callers, n.open.callers.bound(callers, n.cfg.Callers, n.cfg.MaxCallers)}},
+		callers: []bound{{"callers", callers, n.open.callers.bound(callers, n.cfg.Callers, n.cfg.MaxCallers)}},
 		others: []bound{
-			{egress, n.open.egress.bound(egress, n.cfg.Egress, maxLocalConnections)},
-			{operator, n.open.operator.bound(operator, n.cfg.Operator, maxLocalConnections)},
+			{"egress", egress, n.open.egress.bound(egress, n.cfg.Egress, maxLocalConnections)},
+			{"operator", operator, n.open.operator.bound(operator, n.cfg.Operator, maxLocalConnections)},
 		},
 		leave: n.callers.Leave,
 	})
@@ -57,6 +58,8 @@
 
 // Server is an HTTP server and where it listens.
 type Server struct {
+	// Name stands before the address in the line of the node's start.
+	Name     string
 	HTTP     *http.Server
 	Listener net.Listener
 }
@@ -65,9 +68,9 @@
 // Operator are not used.
 func (n *Node) RunWith(ctx context.Context, with Interface) error {
 	all := servers{leave: with.Leave}
-	all.callers = []bound{{with.Callers.HTTP, n.open.callers.bound(with.Callers.HTTP, with.Callers.Listener, n.cfg.MaxCallers)}}
+	all.callers = []bound{{with.Callers.Name, with.Callers.HTTP, n.open.callers.bound(with.Callers.HTTP, with.Callers.Listener, n.cfg.MaxCallers)}}
 	for _, s := range with.Others {
-		all.others = append(all.others, bound{s.HTTP, s.Listener})
+		all.others = append(all.others, bound{s.Name, s.HTTP, s.Listener})
 	}
 	return n.serveUntil(ctx, all)
 }
@@ -81,20 +84,18 @@
 
 // bound is a server with its listener.
 type bound struct {
+	name     string
 	http     *http.Server
 	listener net.Listener
 }
 
 func (n *Node) serveUntil(ctx context.Context, all servers) error {
 	link := n.newLinkServer()
-	all.others = append(all.others, bound{link, n.open.link.bound(link, n.cfg.Link, maxLinkConnections)})
+	all.others = append(all.others, bound{"link", link, n.open.link.bound(link, n.cfg.Link, maxLinkConnections)})
 	failed := make(chan struct{}, len(all.callers)+len(all.others))
 	addresses := log.Fields{"address": n.cfg.VM.Address, "zone": n.cfg.VM.Zone, "region": n.cfg.VM.Region}
-	for _, s := range all.callers {
-		addresses["callers"] = s.listener.Addr().String()
-		n.serve(failed, s.http, s.listener)
-	}
-	for _, s := range all.others {
+	for _, s := range slices.Concat(all.callers, all.others) {
+		addresses[s.name] = s.listener.Addr().String()
 		n.serve(failed, s.http, s.listener)
 	}
 	n.startLoops()
