--- a/internal/vm/dfpnode/dfpnode.go
+++ b/internal/vm/dfpnode/dfpnode.go
@@ -333,14 +333,17 @@
 	return binary.LittleEndian.Uint64(raw[:]) | 1
 }
 
-// Ready returns nil if the node can serve: it knows rules and so many VMs with a
-// backend server, the claims have homes, and each organisation's rate yields a
+// Ready returns nil if the node can serve: it knows rules, that they are the newest, and so many VMs
+// with a backend server, the claims have homes, and each organisation's rate yields a
 // token. Otherwise the error, which wraps ErrNotReady, says what it lacks.
 func (n *Node) Ready(ctx context.Context, vms int) error {
 	rules := n.config.rules()
 	if rules == nil {
 		return fmt.Errorf("%w: no rules", ErrNotReady)
 	}
+	if n.cfg.Rules != nil && n.config.stale() {
+		return fmt.Errorf("%w: the rules are not known to be the newest", ErrNotReady)
+	}
 	if !n.cfg.NoClaims && !n.claims.ready() {
 		return fmt.Errorf("%w: no homes of claims", ErrNotReady)
 	}
