--- a/internal/link/dfpbackend/dfpbackend.go
+++ b/internal/link/dfpbackend/dfpbackend.go
@@ -199,9 +199,13 @@
 		out.Body, _ = out.GetBody()
 		return
 	}
-	out.Body = onceBody{bytes.NewReader(req.Body)}
+	out.Body = OnceBody(req.Body)
 }
 
+// OnceBody returns a request's body that net/http sends once only: it repeats a request by itself
+// where it can rewind the body.
+func OnceBody(body []byte) io.ReadCloser { return onceBody{bytes.NewReader(body)} }
+
 // onceBody is a body that net/http cannot rewind, even when it is empty.
 type onceBody struct{ *bytes.Reader }
 
