--- a/internal/operator/dfplog/dfplog_test.go
+++ b/internal/operator/dfplog/dfplog_test.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"context"
+	"os"
+	"reflect"
 	"strings"
 	"testing"
 	"time"
@@ -49,6 +51,56 @@
 	assert.NilError(t, group.Wait())
 }
 
+func write[E dfpevent.Event](journal *dfpevent.Journal, event E) {
+	dfpevent.Write(journal, time.Now(), func() E { return event })
+}
+
+// TestOperationsPageListsTheEvents compares the table of docs/OPERATIONS.md with the vocabulary: each event
+// and each of its fields.
+func TestOperationsPageListsTheEvents(t *testing.T) {
+	page, err := os.ReadFile("../../../docs/OPERATIONS.md")
+	assert.NilError(t, err)
+	rows := map[string]string{}
+	for _, line := range strings.Split(string(page), "\n") {
+		if cells := strings.Split(line, "|"); len(cells) == 5 {
+			rows[strings.Trim(cells[1], " `")] = cells[3]
+		}
+	}
+	for _, event := range dfpevent.Vocabulary() {
+		row, found := rows[event.Name()]
+		assert.Assert(t, found, "no row for %s", event.Name())
+		listed := map[string]bool{}
+		for i, part := range strings.Split(row, "`") {
+			if i%2 == 1 {
+				listed[part] = true
+			}
+		}
+		fields := map[string]bool{}
+		fieldsOf(reflect.TypeOf(event), fields)
+		if event.Name() == new(dfpevent.Repeated).Name() {
+			assert.Assert(t, strings.Contains(row, "as of `request`"))
+			continue
+		}
+		assert.DeepEqual(t, listed, fields)
+	}
+}
+
+// fieldsOf adds the names of a type's fields in lines, and of those within them.
+func fieldsOf(t reflect.Type, fields map[string]bool) {
+	switch t.Kind() {
+	case reflect.Pointer, reflect.Slice:
+		fieldsOf(t.Elem(), fields)
+	case reflect.Struct:
+		for i := range t.NumField() {
+			name, _, _ := strings.Cut(t.Field(i).Tag.Get("json"), ",")
+			if name != "" {
+				fields[name] = true
+			}
+			fieldsOf(t.Field(i).Type, fields)
+		}
+	}
+}
+
 func TestExplain(t *testing.T) {
 	var entry bytes.Buffer
 	sink := dfplog.NewSink(&entry)
@@ -56,14 +108,23 @@
 	var group errgroup.Group
 	group.Go(func() error { return sink.Run(ctx) })
 	journal := dfpevent.New(&log.Logger{Handler: sink, Level: log.InfoLevel})
-	journal.Request(time.Now(), dfpevent.Request{
+	write(journal, &dfpevent.Request{
 		ID: "9c41d07be2a35f68", Route: "route shop/order/", Organisation: "waldspiel", Service: "ordering",
 		Outcome: "not_run", Reason: "organisation_rate", RetryAfterMs: 250, RulesVersion: 7, RulesAgeMs: 420,
+		Rate: &dfpevent.RateInputs{PerSecond: 2.5, Demand: 9, Tokens: 0.4, Allotter: "10.0.3.1:9000", HeldMs: 900},
+	})
+	write(journal, &dfpevent.Guard{
+		ID: "77", From: "10.0.3.1:9000", Service: "ordering", Outcome: "unknown", Reason: "backend_failed", TookMs: 280,
+		InFlight: 4, Limit: 9, Queued: 1, Level: 30,
 	})
-	journal.Request(time.Now(), dfpevent.Request{
+	write(journal, &dfpevent.Request{
 		ID: "77", Route: "route shop/order/", Outcome: "unknown", Reason: "backend_failed", HeldMs: 300,
 		Attempts: []dfpevent.Attempt{{VM: "10.0.3.8:9000", Outcome: "unknown", Reason: "backend_failed", TookMs: 290}},
 	})
+	write(journal, &dfpevent.Repeated{Request: dfpevent.Request{
+		ID: "78", Outcome: "answered", Status: 200,
+		Attempts: []dfpevent.Attempt{{VM: "10.0.3.8:9000", Outcome: "not_run", Reason: "draining"}, {VM: "10.0.3.9:9000", Outcome: "answered", Status: 200, TookMs: 40}},
+	}})
 	cancel()
 	assert.NilError(t, group.Wait())
 	logText := entry.String()
@@ -71,8 +132,9 @@
 		id   string
 		want []string
 	}{
-		{"9c41d07be2a35f68", []string{"because of organisation_rate", "rules version 7", "420 ms before", "come back after 250 ms"}},
-		{"77", []string{"attempt 1: 10.0.3.8:9000: unknown", "because of backend_failed after 290 ms"}},
+		{"9c41d07be2a35f68", []string{"because of organisation_rate", "rules version 7", "420 ms before", "come back after 250 ms", "may run 2.5 a second", "holds for 900 ms"}},
+		{"77", []string{"sent by 10.0.3.1:9000", "ran 4 of 9, 1 waited, admission level 30", "attempt 1: 10.0.3.8:9000: unknown", "because of backend_failed after 290 ms"}},
+		{"78", []string{"attempt 1: 10.0.3.8:9000: not_run because of draining", "attempt 2: 10.0.3.9:9000: answered with status 200"}},
 	} {
 		var out bytes.Buffer
 		assert.NilError(t, dfplog.Explain(&out, tc.id, []dfplog.Source{
--- a/internal/operator/dfplog/explain.go
+++ b/internal/operator/dfplog/explain.go
@@ -28,19 +28,45 @@
 // logLine is the part of a line that explains a request.
 type logLine struct {
 	Timestamp time.Time `json:"timestamp"`
-	Message   string    `json:"message"`
 	Fields    struct {
-		Event  string           `json:"event"`
-		Detail dfpevent.Request `json:"detail"`
+		Event  string          `json:"event"`
+		Detail json.RawMessage `json:"detail"`
 	} `json:"fields"`
 
 	source string
+	event  dfpevent.Event
+}
+
+// decode reads the line's event, and reports whether it is one of a request with this id.
+func (l *logLine) decode(id string) bool {
+	var found string
+	switch l.Fields.Event {
+	case new(dfpevent.Request).Name():
+		event := new(dfpevent.Request)
+		l.event = event
+		if json.Unmarshal(l.Fields.Detail, event) == nil {
+			found = event.ID
+		}
+	case new(dfpevent.Repeated).Name():
+		event := new(dfpevent.Repeated)
+		l.event = event
+		if json.Unmarshal(l.Fields.Detail, event) == nil {
+			found = event.ID
+		}
+	case new(dfpevent.Guard).Name():
+		event := new(dfpevent.Guard)
+		l.event = event
+		if json.Unmarshal(l.Fields.Detail, event) == nil {
+			found = event.ID
+		}
+	}
+	return found == id
 }
 
 // Explain writes, in the order of time, what the nodes' logs say of a request. The error wraps
 // ErrNoRequest if none names it.
 func Explain(w io.Writer, id string, sources []Source) error {
-	var found []logLine
+	var found []*logLine
 	for _, source := range sources {
 		lines, err := linesOf(id, source)
 		if err != nil {
@@ -60,19 +86,19 @@
 	return nil
 }
 
-func linesOf(id string, source Source) ([]logLine, error) {
-	var found []logLine
+func linesOf(id string, source Source) ([]*logLine, error) {
+	var found []*logLine
 	scanner := bufio.NewScanner(source.Log)
 	scanner.Buffer(nil, maxLine)
 	for scanner.Scan() {
 		if !bytes.Contains(scanner.Bytes(), []byte(id)) {
 			continue
 		}
-		var line logLine
-		if json.Unmarshal(scanner.Bytes(), &line) != nil {
+		line := new(logLine)
+		if json.Unmarshal(scanner.Bytes(), line) != nil {
 			continue // Other programs may write to the same log.
 		}
-		if line.Fields.Event == dfpevent.NameRequest && line.Fields.Detail.ID == id {
+		if line.decode(id) {
 			line.source = source.Name
 			found = append(found, line)
 		}
@@ -80,26 +106,47 @@
 	return found, scanner.Err()
 }
 
-func (l logLine) explain(w io.Writer) error {
-	r := l.Fields.Detail
+func (l *logLine) explain(w io.Writer) error {
 	var out bytes.Buffer
-	fmt.Fprintf(&out, "%s %s: request %s of %q on %s for service %s\n",
-		l.Timestamp.Format(time.RFC3339Nano), l.source, r.ID, r.Organisation, r.Route, r.Service)
-	fmt.Fprintf(&out, "  decided by rules version %d, known to be the newest %d ms before\n", r.RulesVersion, r.RulesAgeMs)
+	fmt.Fprintf(&out, "%s %s: ", l.Timestamp.Format(time.RFC3339Nano), l.source)
+	switch event := l.event.(type) {
+	case *dfpevent.Request:
+		explainRequest(&out, event)
+	case *dfpevent.Repeated:
+		explainRequest(&out, &event.Request)
+	case *dfpevent.Guard:
+		explainGuard(&out, event)
+	}
+	_, err := w.Write(out.Bytes())
+	return err
+}
+
+func explainGuard(out *bytes.Buffer, g *dfpevent.Guard) {
+	fmt.Fprintf(out, "attempt of request %s here, for service %s, sent by %s\n", g.ID, g.Service, g.From)
+	fmt.Fprintf(out, "  ended as %s %s after %d ms\n", g.Outcome, describe(g.Reason, g.Status), g.TookMs)
+	fmt.Fprintf(out, "  the backend server then ran %d of %d, %d waited, admission level %d\n", g.InFlight, g.Limit, g.Queued, g.Level)
+}
+
+func explainRequest(out *bytes.Buffer, r *dfpevent.Request) {
+	fmt.Fprintf(out, "request %s of %q on %s for service %s\n", r.ID, r.Organisation, r.Route, r.Service)
+	fmt.Fprintf(out, "  decided by rules version %d, known to be the newest %d ms before\n", r.RulesVersion, r.RulesAgeMs)
 	for i, a := range r.Attempts {
 		at := a.VM
 		if at == "" {
 			at = "no VM could be chosen"
 		}
-		fmt.Fprintf(&out, "  attempt %d: %s: %s %s after %d ms\n", i+1, at, a.Outcome, describe(a.Reason, a.Status), a.TookMs)
+		fmt.Fprintf(out, "  attempt %d: %s: %s %s after %d ms\n", i+1, at, a.Outcome, describe(a.Reason, a.Status), a.TookMs)
+	}
+	if rate := r.Rate; rate != nil {
+		fmt.Fprintf(out, "  this node may run %.1f a second of the organisation's rate, was asked for %.1f and had %.1f left\n",
+			rate.PerSecond, rate.Demand, rate.Tokens)
+		fmt.Fprintf(out, "  %s divides the rates; this node's allotment holds for %d ms\n", rate.Allotter, rate.HeldMs)
 	}
-	fmt.Fprintf(&out, "  ended as %s %s after %d ms", r.Outcome, describe(r.Reason, r.Status), r.HeldMs)
+	fmt.Fprintf(out, "  ended as %s %s after %d ms", r.Outcome, describe(r.Reason, r.Status), r.HeldMs)
 	if r.RetryAfterMs > 0 {
-		fmt.Fprintf(&out, ", to come back after %d ms", r.RetryAfterMs)
+		fmt.Fprintf(out, ", to come back after %d ms", r.RetryAfterMs)
 	}
-	fmt.Fprintln(&out)
-	_, err := w.Write(out.Bytes())
-	return err
+	fmt.Fprintln(out)
 }
 
 func describe(reason string, status int) string {
--- a/internal/vm/dfpevent/dfpevent.go
+++ b/internal/vm/dfpevent/dfpevent.go
@@ -2,14 +2,15 @@
 // request, or what a node came to believe, each with typed fields.
 //
 // Ordinary successes have no line. A request that ends badly at its entry has one, Request, which
-// carries the story of its attempts: where each was sent and how that ended. Each event has a
-// budget of lines a second; what is over it is counted, and the count stands in the next line of the
-// same event.
+// carries the story of its attempts: where each was sent and how that ended. So does a success that
+// took more than one attempt or came late. The node at which an attempt ended badly writes a line of
+// its own, Guard. Each event has a budget of lines a second; what is over it is counted, and the count
+// stands in the next line of the same event.
 //
 // # Usage
 //
 //	journal := dfpevent.New(logger)
-//	journal.Request(now, dfpevent.Request{ID: id, Reason: "organisation_rate", ...})
+//	dfpevent.Write(journal, now, func() *dfpevent.VM { return &dfpevent.VM{Address: address, State: "silent"} })
 //
 // A Journal is safe for concurrent use. It never blocks as long as its logger does not.
 package dfpevent
@@ -21,12 +22,21 @@
 	"github.com/apex/log"
 )
 
-// The names of events, in the field "event".
-const (
-	NameRequest = "request"
-	NameBackend = "backend_server"
-	NameStore   = "platform"
-)
+// Event is *Request, *Repeated, *Guard, *Backend, *VM, *SetAside, *Rules, *Rate or *Dependency.
+type Event interface {
+	// Name is the line's field "event". It does not read the event.
+	Name() string
+	// message is the line's message.
+	message() string
+}
+
+// Vocabulary returns an empty event of each kind.
+func Vocabulary() []Event {
+	return []Event{
+		new(Request), new(Repeated), new(Guard), new(Backend), new(VM), new(SetAside), new(Rules), new(Rate),
+		new(Dependency),
+	}
+}
 
 // linesPerSecond is each event's budget. A node takes some hundred requests a second; this many lines
 // show each kind of failure, and cost less than a thousandth of a core.
@@ -63,24 +73,175 @@
 	RulesVersion uint64    `json:"rules_version"`
 	RulesAgeMs   int64     `json:"rules_age_ms"`
 	Attempts     []Attempt `json:"attempts,omitempty"`
+	// Rate is what a refusal for the organisation's rate was decided by.
+	Rate *RateInputs `json:"rate,omitempty"`
+}
+
+// RateInputs are what a node knows of one organisation's rate.
+type RateInputs struct {
+	// PerSecond is what the node may use, Demand what it is asked for, in requests a second.
+	PerSecond float64 `json:"per_second"`
+	Demand    float64 `json:"demand"`
+	// Tokens is the number of requests that it may run at once.
+	Tokens float64 `json:"tokens"`
+	// Allotter is the VM that divides the rates.
+	Allotter string `json:"allotter"`
+	// HeldMs is how long the node's allotment still holds, in milliseconds; negative once it has lapsed.
+	HeldMs int64 `json:"held_ms"`
+}
+
+// Repeated says how a request succeeded that took more than one attempt, or longer than the latency
+// objective of its route.
+type Repeated struct{ Request }
+
+// Guard says how an attempt ended without success on the backend server of the VM that writes the line.
+type Guard struct {
+	// ID is the caller's, as in Request.
+	ID string `json:"id"`
+	// From is the VM that sent the request here.
+	From    string `json:"from"`
+	Service string `json:"service"`
+	Outcome string `json:"outcome"`
+	Reason  string `json:"reason,omitempty"`
+	Status  int    `json:"status,omitempty"`
+	// TookMs is the time from the arrival here, in milliseconds.
+	TookMs int64 `json:"took_ms"`
+	// InFlight, Queued, Limit and Level are the guard's at the end of the attempt; a request below the
+	// level is not admitted.
+	InFlight int `json:"in_flight"`
+	Queued   int `json:"queued"`
+	Limit    int `json:"limit"`
+	Level    int `json:"level"`
 }
 
 // Backend says what the node believes of its VM's backend server.
 type Backend struct {
 	Instance string `json:"instance"`
 	Service  string `json:"service"`
+	Slots    int    `json:"slots"`
 	// State is ready, draining, silent or gone.
 	State string `json:"state"`
 }
 
+// VM says what the node believes of another VM.
+type VM struct {
+	Address string `json:"address"`
+	// Service is empty while no backend server is known there.
+	Service string `json:"service"`
+	// State is up, draining, silent, dead or left.
+	State string `json:"state"`
+}
+
+// SetAside says that the node sends a VM no more requests, or again.
+type SetAside struct {
+	Address string `json:"address"`
+	Service string `json:"service"`
+	// Back says that it is sent requests again.
+	Back bool `json:"back"`
+	// FailedPart is the part of requests that failed there lately, and LatencyMs and ServiceLatencyMs the mean
+	// time of successful ones there and at the whole service, in milliseconds.
+	FailedPart       float64 `json:"failed_part"`
+	LatencyMs        float64 `json:"latency_ms"`
+	ServiceLatencyMs float64 `json:"service_latency_ms"`
+	// TrialMs is the time until it is tried again, in milliseconds.
+	TrialMs int64 `json:"trial_ms"`
+}
+
+// Rules says what the node believes of the rules.
+type Rules struct {
+	Version uint64 `json:"version"`
+	// State is in_force, not_taken, stale or fresh.
+	State string `json:"state"`
+	// By is who wrote the version, and Reason why it was not taken.
+	By     string `json:"by,omitempty"`
+	Reason string `json:"reason,omitempty"`
+}
+
+// Rate says by what the node keeps the organisations' rates from now on.
+type Rate struct {
+	// Allotter is the VM that divides the rates, among Nodes VMs.
+	Allotter string `json:"allotter"`
+	Nodes    int    `json:"nodes"`
+	// Held says that the node has an allotment; without one it makes do with an even part of half of
+	// each rate.
+	Held bool `json:"held"`
+}
+
 // Dependency says that something the node depends on was lost or is back.
 type Dependency struct {
-	Name string `json:"name"`
-	Lost bool   `json:"lost"`
+	Dependency string `json:"dependency"`
+	Lost       bool   `json:"lost"`
 	// Reason is the error that showed it.
 	Reason string `json:"reason,omitempty"`
 }
 
+// Name implements Event.
+func (*Request) Name() string { return "request" }
+
+// Name implements Event.
+func (*Repeated) Name() string { return "request_repeated" }
+
+// Name implements Event.
+func (*Guard) Name() string { return "guard" }
+
+// Name implements Event.
+func (*Backend) Name() string { return "backend_server" }
+
+// Name implements Event.
+func (*VM) Name() string { return "vm" }
+
+// Name implements Event.
+func (*SetAside) Name() string { return "set_aside" }
+
+// Name implements Event.
+func (*Rules) Name() string { return "rules" }
+
+// Name implements Event.
+func (*Rate) Name() string { return "rate" }
+
+// Name implements Event.
+func (*Dependency) Name() string { return "dependency" }
+
+func (*Request) message() string   { return "request without success" }
+func (*Repeated) message() string  { return "request took several attempts or long" }
+func (*Guard) message() string     { return "attempt without success" }
+func (b *Backend) message() string { return "backend server is " + b.State }
+func (v *VM) message() string      { return "VM is " + v.State }
+func (*Rate) message() string      { return "rates are kept otherwise" }
+
+func (s *SetAside) message() string {
+	if s.Back {
+		return "VM is sent requests again"
+	}
+	return "VM is set aside"
+}
+
+func (r *Rules) message() string {
+	switch r.State {
+	case RulesInForce:
+		return "rules in force"
+	case RulesNotTaken:
+		return "rules not taken"
+	default:
+		return "rules are " + r.State
+	}
+}
+
+func (d *Dependency) message() string {
+	if d.Lost {
+		return d.Dependency + " is lost"
+	}
+	return d.Dependency + " is back"
+}
+
+// The states of Rules.
+const (
+	RulesInForce  = "in_force"
+	RulesNotTaken = "not_taken"
+	RulesStale    = "stale"
+	RulesFresh    = "fresh"
+)
+
 // Journal writes events.
 type Journal struct {
 	log log.Interface
@@ -101,35 +262,20 @@
 	return &Journal{log: logger, budgets: map[string]*budget{}}
 }
 
-// Request writes how a request ended.
-func (j *Journal) Request(now time.Time, r Request) {
-	j.write(now, NameRequest, "request without success", r)
-}
-
-// Backend writes what is believed of the backend server.
-func (j *Journal) Backend(now time.Time, b Backend) {
-	j.write(now, NameBackend, "backend server is "+b.State, b)
-}
-
-// Dependency writes that a dependency was lost or is back.
-func (j *Journal) Dependency(now time.Time, d Dependency) {
-	message := d.Name + " is back"
-	if d.Lost {
-		message = d.Name + " is lost"
-	}
-	j.write(now, NameStore, message, d)
-}
-
-func (j *Journal) write(now time.Time, name, message string, detail any) {
+// Write writes an event if the budget of its kind allows that. Describe is called only then.
+func Write[E Event](j *Journal, now time.Time, describe func() E) {
+	var kind E
+	name := kind.Name()
 	leftOut, ok := j.take(now, name)
 	if !ok {
 		return
 	}
-	fields := log.Fields{"event": name, "detail": detail}
+	event := describe()
+	fields := log.Fields{"event": name, "detail": event}
 	if leftOut > 0 {
 		fields["left_out"] = leftOut
 	}
-	j.log.WithFields(fields).Info(message)
+	j.log.WithFields(fields).Info(event.message())
 }
 
 // take takes a line of an event's budget. It returns how many lines were left out since the last one.
--- a/internal/vm/dfpevent/dfpevent_test.go
+++ b/internal/vm/dfpevent/dfpevent_test.go
@@ -48,22 +48,23 @@
 			{VM: "10.0.3.8:9000", Outcome: "unknown", Reason: "backend_failed", TookMs: 205},
 		},
 	}
-	journal.Request(epoch, want)
+	dfpevent.Write(journal, epoch, func() *dfpevent.Request { return &want })
 	got := lines(t, out.Bytes())
 	assert.Equal(t, len(got), 1)
-	assert.Equal(t, got[0].Fields.Event, dfpevent.NameRequest)
+	assert.Equal(t, got[0].Fields.Event, want.Name())
 	assert.DeepEqual(t, got[0].Fields.Detail, want)
 }
 
 func TestLinesAreBoundedAndCounted(t *testing.T) {
 	var out bytes.Buffer
 	journal := dfpevent.New(&log.Logger{Handler: handler.New(&out), Level: log.InfoLevel})
+	request := func() *dfpevent.Request { return &dfpevent.Request{ID: "a"} }
 	for range 1000 {
-		journal.Request(epoch, dfpevent.Request{ID: "a"})
+		dfpevent.Write(journal, epoch, request)
 	}
 	in := len(lines(t, out.Bytes()))
 	assert.Assert(t, in < 100, "%d lines", in)
-	journal.Request(epoch.Add(time.Second), dfpevent.Request{ID: "b"})
+	dfpevent.Write(journal, epoch.Add(time.Second), request)
 	all := lines(t, out.Bytes())
 	assert.Equal(t, all[len(all)-1].Fields.LeftOut, 1000-in)
 }
--- a/internal/vm/dfpnode/dfpnode.go
+++ b/internal/vm/dfpnode/dfpnode.go
@@ -259,7 +259,9 @@
 	n.prometheus = newExported(n)
 	n.life, n.end = context.WithCancel(context.Background())
 	n.backend = cfg.Backend
-	n.router = dfproute.New(cfg.Route)
+	route := cfg.Route
+	route.Changed = n.noteAside
+	n.router = dfproute.New(route)
 	n.callers = dfpcaller.New(dfpcaller.Config{Admit: n.admitCaller, Serve: n.serveCaller, KeepKeys: cfg.KeepKeys})
 	n.guard.init(n)
 	n.rates = newRates(n) // Before the roster, which tells it of peers.
--- a/internal/vm/dfpnode/dfpnode_account.go
+++ b/internal/vm/dfpnode/dfpnode_account.go
@@ -7,6 +7,7 @@
 	"dragonflyport/internal/contract/dfpretry"
 	"dragonflyport/internal/link/dfpcaller"
 	"dragonflyport/internal/vm/dfpevent"
+	"dragonflyport/internal/zone/dfproute"
 )
 
 // The words for outcomes in logs and metrics.
@@ -40,22 +41,36 @@
 	if n.platformLost.Swap(lost) == lost {
 		return
 	}
-	dependency := dfpevent.Dependency{Name: "platform", Lost: lost}
-	if lost {
-		dependency.Reason = err.Error()
-	}
-	n.journal.Dependency(time.Now(), dependency)
+	dfpevent.Write(n.journal, time.Now(), func() *dfpevent.Dependency {
+		dependency := &dfpevent.Dependency{Dependency: "platform", Lost: lost}
+		if lost {
+			dependency.Reason = err.Error()
+		}
+		return dependency
+	})
 }
 
-// account counts how a caller's request ended, and writes its story to the log unless it succeeded.
-// req is empty if it was refused before it was looked at further.
+// account counts how a caller's request ended, and writes its story to the log unless it succeeded
+// at once and in time. req is empty if it was refused before it was looked at further.
 func (n *Node) account(in *dfpcaller.Incoming, req *dfpcall.Request, out dfpcall.Outcome, took time.Duration) {
-	outcome, reason, status, retryAfter := ended(out)
+	outcome, reason, _, _ := ended(out)
 	n.prometheus.request(req, outcome, reason, took)
-	if dfpretry.Succeeded(out) {
-		return
+	now := time.Now()
+	switch {
+	case !dfpretry.Succeeded(out):
+		dfpevent.Write(n.journal, now, func() *dfpevent.Request {
+			return n.storyOf(in, req, out, took)
+		})
+	case len(req.Steps) > 1 || req.Objective > 0 && took > req.Objective:
+		dfpevent.Write(n.journal, now, func() *dfpevent.Repeated {
+			return &dfpevent.Repeated{Request: *n.storyOf(in, req, out, took)}
+		})
 	}
-	story := dfpevent.Request{
+}
+
+func (n *Node) storyOf(in *dfpcaller.Incoming, req *dfpcall.Request, out dfpcall.Outcome, took time.Duration) *dfpevent.Request {
+	outcome, reason, status, retryAfter := ended(out)
+	story := &dfpevent.Request{
 		ID: in.CallerID, Route: in.Host + in.Path, Organisation: req.Organisation, Service: req.Service,
 		Outcome: outcome, Reason: reason, Status: status, RetryAfterMs: retryAfter.Milliseconds(),
 		HeldMs: took.Milliseconds(), RulesVersion: n.config.version(), RulesAgeMs: -1,
@@ -68,5 +83,39 @@
 		attempt.Outcome, attempt.Reason, attempt.Status, _ = ended(step.Outcome)
 		story.Attempts = append(story.Attempts, attempt)
 	}
-	n.journal.Request(time.Now(), story)
+	if reason == string(dfpcall.ReasonRate) {
+		story.Rate = n.rates.inputs(req.Organisation)
+	}
+	return story
+}
+
+// noteAside writes to the log that a VM is sent no more requests, or again.
+func (n *Node) noteAside(c dfproute.Change) {
+	dfpevent.Write(n.journal, c.At, func() *dfpevent.SetAside {
+		aside := &dfpevent.SetAside{
+			Address: c.VM.Address, Service: c.VM.Service, Back: c.Back, FailedPart: c.FailedPart,
+			LatencyMs:        float64(c.Latency) / float64(time.Millisecond),
+			ServiceLatencyMs: float64(c.ServiceLatency) / float64(time.Millisecond),
+		}
+		if !c.Trial.IsZero() {
+			aside.TrialMs = c.Trial.Sub(c.At).Milliseconds()
+		}
+		return aside
+	})
+}
+
+// accountAttempt writes to the log how an attempt ended on this VM's backend server unless it succeeded.
+func (n *Node) accountAttempt(from string, req *dfpcall.Request, out dfpcall.Outcome, took time.Duration) {
+	if dfpretry.Succeeded(out) {
+		return
+	}
+	dfpevent.Write(n.journal, time.Now(), func() *dfpevent.Guard {
+		outcome, reason, status, _ := ended(out)
+		load := n.guard.load()
+		return &dfpevent.Guard{
+			ID: req.CallerID, From: from, Service: req.Service, Outcome: outcome, Reason: reason, Status: status,
+			TookMs: took.Milliseconds(), InFlight: load.InFlight, Queued: load.Queued, Limit: load.Limit,
+			Level: int(load.Level()),
+		}
+	})
 }
--- a/internal/vm/dfpnode/dfpnode_config.go
+++ b/internal/vm/dfpnode/dfpnode_config.go
@@ -12,6 +12,7 @@
 	"dragonflyport/internal/contract/dfprules"
 	"dragonflyport/internal/link/dfppeer"
 	"dragonflyport/internal/vm/dfpclock"
+	"dragonflyport/internal/vm/dfpevent"
 )
 
 const (
@@ -76,13 +77,22 @@
 	isStale := l.stale()
 	switch {
 	case isStale && !wasStale:
-		l.n.cfg.Log.WithField("version", l.version()).Warn("rules are stale")
+		l.note(dfpevent.Rules{Version: l.version(), State: dfpevent.RulesStale})
 	case wasStale && !isStale:
-		l.n.cfg.Log.WithField("version", l.version()).Info("rules are fresh")
+		l.note(dfpevent.Rules{Version: l.version(), State: dfpevent.RulesFresh})
 	}
 	return isStale
 }
 
+func (l *configLoop) note(rules dfpevent.Rules) {
+	dfpevent.Write(l.n.journal, time.Now(), func() *dfpevent.Rules { return &rules })
+}
+
+// noteFault logs why a version was not taken; the one in force stays.
+func (l *configLoop) noteFault(err error) {
+	l.note(dfpevent.Rules{Version: l.version(), State: dfpevent.RulesNotTaken, Reason: err.Error()})
+}
+
 func (l *configLoop) setRoster() {
 	vms := l.n.roster.vms()
 	l.mu.Lock()
@@ -99,7 +109,7 @@
 	}
 	l.mu.Unlock()
 	if effects.Fault != nil {
-		l.n.cfg.Log.WithError(effects.Fault).Error("rules not taken")
+		l.noteFault(effects.Fault)
 	}
 	if effects.Install != nil {
 		l.install(effects.Install)
@@ -137,7 +147,7 @@
 	head, err := l.n.cfg.Rules.Head(l.n.life)
 	switch {
 	case errors.Is(err, dfpconfig.ErrHead):
-		l.n.cfg.Log.WithError(err).Error("rules not taken")
+		l.noteFault(err)
 	default:
 		l.n.heardPlatform(err)
 	}
@@ -226,7 +236,7 @@
 		return // A newer one came in while this one waited for its turn.
 	}
 	l.current.Store(next)
-	l.n.cfg.Log.WithField("version", version).WithField("by", next.Head.By).Info("rules in force")
+	l.note(dfpevent.Rules{Version: version, State: dfpevent.RulesInForce, By: next.Head.By})
 	if _, found := next.Set.Zone(l.n.cfg.VM.Zone); !found && len(next.Set.Zones) > 0 {
 		l.n.cfg.Log.WithField("zone", l.n.cfg.VM.Zone).Warn("the rules do not name this node's availability zone")
 	}
--- a/internal/vm/dfpnode/dfpnode_guard.go
+++ b/internal/vm/dfpnode/dfpnode_guard.go
@@ -102,7 +102,7 @@
 	if !fresh {
 		return
 	}
-	n.journal.Backend(time.Now(), dfpevent.Backend{Instance: announced.Instance, Service: announced.Service, State: "ready"})
+	n.guard.note(announced, n.guard.readiness())
 	n.roster.changeSelf(func(vm *dfpvm.VM) {
 		vm.Service, vm.BackendAddress, vm.Slots = announced.Service, announced.Address, announced.Slots
 		vm.Draining = g.isDraining()
@@ -112,17 +112,32 @@
 // expire withdraws a backend server that has stopped announcing itself.
 func (g *guardGate) expire(now time.Time) {
 	g.mu.Lock()
+	backend := g.backend
 	lapsed := !g.expires.IsZero() && now.After(g.expires)
 	if lapsed {
 		g.expires = time.Time{}
 	}
 	g.mu.Unlock()
 	if lapsed {
-		g.n.journal.Backend(now, dfpevent.Backend{State: "silent"})
+		g.note(backend, "silent")
 		g.n.roster.changeSelf(func(vm *dfpvm.VM) { vm.Service = "" })
 	}
 }
 
+// note writes to the log what is believed of the backend server.
+func (g *guardGate) note(backend Announcement, state string) {
+	dfpevent.Write(g.n.journal, time.Now(), func() *dfpevent.Backend {
+		return &dfpevent.Backend{Instance: backend.Instance, Service: backend.Service, Slots: backend.Slots, State: state}
+	})
+}
+
+func (g *guardGate) readiness() string {
+	if g.isDraining() {
+		return "draining"
+	}
+	return "ready"
+}
+
 func (g *guardGate) isDraining() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -134,13 +149,14 @@
 func (n *Node) withdraw(instance string) {
 	g := &n.guard
 	g.mu.Lock()
-	gone := !g.expires.IsZero() && g.backend.Instance == instance
+	backend := g.backend
+	gone := !g.expires.IsZero() && backend.Instance == instance
 	if gone {
 		g.expires = time.Time{}
 	}
 	g.mu.Unlock()
 	if gone {
-		n.journal.Backend(time.Now(), dfpevent.Backend{Instance: instance, State: "gone"})
+		g.note(backend, "gone")
 		n.roster.changeSelf(func(vm *dfpvm.VM) { vm.Service = "" })
 	}
 }
@@ -151,6 +167,7 @@
 	if !g.draining {
 		g.draining = true
 		g.deliver(g.guard.Drain(time.Now()))
+		g.note(g.backend, "draining")
 	}
 }
 
@@ -180,8 +197,11 @@
 }
 
 // runForPeer runs a request that another node sent to this VM's backend server.
-func (n *Node) runForPeer(ctx context.Context, _ string, req *dfpcall.Request) dfpcall.Outcome {
-	return n.runGuarded(ctx, req)
+func (n *Node) runForPeer(ctx context.Context, from string, req *dfpcall.Request) dfpcall.Outcome {
+	arrived := time.Now()
+	out := n.runGuarded(ctx, req)
+	n.accountAttempt(from, req, out, time.Since(arrived))
+	return out
 }
 
 // runGuarded runs a request on this VM's backend server, if the guard admits it.
--- a/internal/vm/dfpnode/dfpnode_quota.go
+++ b/internal/vm/dfpnode/dfpnode_quota.go
@@ -9,6 +9,7 @@
 	"dragonflyport/internal/contract/dfprules"
 	"dragonflyport/internal/link/dfppeer"
 	"dragonflyport/internal/vm/dfpclock"
+	"dragonflyport/internal/vm/dfpevent"
 	"dragonflyport/internal/vm/dfpvm"
 	"dragonflyport/internal/zone/dfpquota"
 	"dragonflyport/internal/zone/dfproster"
@@ -95,6 +96,7 @@
 func (l *quotaLoop) run() error {
 	ticker := time.NewTicker(dfpquota.TickInterval)
 	defer ticker.Stop()
+	var noted dfpevent.Rate
 	for {
 		select {
 		case <-l.n.life.Done():
@@ -105,10 +107,40 @@
 				k.SetFleet(now, fleet)
 				return k.Tick(now)
 			})
+			noted = l.note(noted)
 		}
 	}
 }
 
+// note writes to the log by what the rates are kept, where that has changed, and returns it.
+func (l *quotaLoop) note(before dfpevent.Rate) dfpevent.Rate {
+	l.mu.Lock()
+	standing := l.keeper.Standing()
+	l.mu.Unlock()
+	rate := dfpevent.Rate{
+		Allotter: standing.Allotter, Nodes: standing.Nodes, Held: dfpclock.Now().Before(standing.HeldUntil),
+	}
+	if rate != before {
+		dfpevent.Write(l.n.journal, time.Now(), func() *dfpevent.Rate { return &rate })
+	}
+	return rate
+}
+
+func (l *quotaLoop) inputs(organisation string) *dfpevent.RateInputs {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := dfpclock.Now()
+	state, found := l.keeper.Organisation(now, organisation)
+	if !found {
+		return nil
+	}
+	standing := l.keeper.Standing()
+	return &dfpevent.RateInputs{
+		PerSecond: state.PerSecond, Demand: state.Demand, Tokens: state.Tokens, Allotter: standing.Allotter,
+		HeldMs: standing.HeldUntil.Sub(now).Milliseconds(),
+	}
+}
+
 func (l *quotaLoop) setRules(_ uint64, rules *dfprules.Ruleset) {
 	organisations := make([]dfpquota.Organisation, 0, len(rules.Organisations))
 	for _, o := range rules.Organisations {
--- a/internal/vm/dfpnode/dfpnode_rates.go
+++ b/internal/vm/dfpnode/dfpnode_rates.go
@@ -12,6 +12,7 @@
 	"dragonflyport/internal/contract/dfprules"
 	"dragonflyport/internal/link/dfppeer"
 	"dragonflyport/internal/link/dfpplatform"
+	"dragonflyport/internal/vm/dfpevent"
 	"dragonflyport/internal/vm/dfpvm"
 	"dragonflyport/internal/zone/dfpshare"
 )
@@ -66,6 +67,9 @@
 	stop(ctx context.Context)
 	// dump returns a dump for operators.
 	dump() any
+	// inputs returns what an organisation's requests are decided by now, for the log; nil if there is
+	// nothing to say.
+	inputs(organisation string) *dfpevent.RateInputs
 }
 
 func newRates(n *Node) organisationRates {
@@ -308,3 +312,6 @@
 	defer l.mu.Unlock()
 	return l.share.State(time.Now())
 }
+
+// inputs has nothing to say: operators read dfpshare's state from dump.
+func (*ratesLoop) inputs(string) *dfpevent.RateInputs { return nil }
--- a/internal/vm/dfpnode/dfpnode_roster.go
+++ b/internal/vm/dfpnode/dfpnode_roster.go
@@ -14,6 +14,7 @@
 	"dragonflyport/internal/contract/dfpcall"
 	"dragonflyport/internal/link/dfppeer"
 	"dragonflyport/internal/link/dfpplatform"
+	"dragonflyport/internal/vm/dfpevent"
 	"dragonflyport/internal/vm/dfpvm"
 	"dragonflyport/internal/zone/dfproster"
 )
@@ -32,6 +33,8 @@
 	mu     sync.Mutex
 	roster *dfproster.Roster
 	rnd    *rand.Rand
+	// noted is what the log says of other VMs, by address.
+	noted map[string]dfpevent.VM
 
 	// announce holds one wish to write this VM's entry anew.
 	announce chan struct{}
@@ -45,6 +48,7 @@
 	l.n = n
 	l.roster = dfproster.New(dfproster.Config{Self: n.cfg.VM, Seeds: n.cfg.Seeds, Watchers: n.cfg.Watchers})
 	l.rnd = n.newRand(streamRoster)
+	l.noted = make(map[string]dfpevent.VM)
 	l.announce = make(chan struct{}, 1)
 	l.announce <- struct{}{}
 	l.apply()
@@ -57,6 +61,7 @@
 	l.mu.Unlock()
 	if effects.Changed {
 		l.apply()
+		l.note()
 	}
 	for _, send := range effects.Sends {
 		l.n.tell(send.To, dfppeer.TopicRoster, send.Message)
@@ -79,6 +84,26 @@
 	return l.roster.VMs()
 }
 
+// note writes to the log what has changed in what is believed of other VMs.
+func (l *rosterLoop) note() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, m := range l.roster.Members() {
+		believed := dfpevent.VM{Address: m.VM.Address, Service: m.VM.Service, State: m.State.String()}
+		switch {
+		case m.VM.Left:
+			believed.State = "left"
+		case m.State == dfproster.StateUp && m.VM.Draining:
+			believed.State = "draining"
+		}
+		if believed.Address == l.n.cfg.VM.Address || l.noted[believed.Address] == believed {
+			continue
+		}
+		l.noted[believed.Address] = believed
+		dfpevent.Write(l.n.journal, time.Now(), func() *dfpevent.VM { return &believed })
+	}
+}
+
 // apply hands the list of VMs to those who decide by it.
 func (l *rosterLoop) apply() {
 	vms := l.vms()
--- a/internal/vm/dfpnode/dfpnode_route.go
+++ b/internal/vm/dfpnode/dfpnode_route.go
@@ -69,7 +69,7 @@
 // runAt runs a request at the guard of one VM, which may be this one.
 func (n *Node) runAt(ctx context.Context, address string, req *dfpcall.Request) dfpcall.Outcome {
 	if address == n.cfg.VM.Address {
-		out := n.runGuarded(ctx, req)
+		out := n.runForPeer(ctx, address, req)
 		n.router.Observe(time.Now(), address, n.guard.load())
 		return out
 	}
--- a/internal/zone/dfpquota/dfpquota.go
+++ b/internal/zone/dfpquota/dfpquota.go
@@ -168,11 +168,16 @@
 
 // State is a dump for operators.
 type State struct {
+	Standing
+	Organisations []OrganisationState `json:"organisations"`
+}
+
+// Standing is by what a node keeps the rates.
+type Standing struct {
 	Allotter string `json:"allotter"`
 	Nodes    int    `json:"nodes"`
 	// HeldUntil is when the allotment in use lapses; zero without one.
-	HeldUntil     time.Time           `json:"held_until"`
-	Organisations []OrganisationState `json:"organisations"`
+	HeldUntil time.Time `json:"held_until"`
 }
 
 // OrganisationState is one organisation's part at this node.
--- a/internal/zone/dfpquota/keeper.go
+++ b/internal/zone/dfpquota/keeper.go
@@ -317,18 +317,33 @@
 
 // State returns a dump, by organisation.
 func (k *Keeper) State(now time.Time) State {
-	s := State{Allotter: k.fleet.Allotter, Nodes: k.fleet.Nodes, HeldUntil: k.heldUntil}
-	for name, b := range k.buckets {
-		k.refill(now, b)
-		s.Organisations = append(s.Organisations, OrganisationState{
-			Name: name, PerSecond: k.rate(now, b), Demand: b.demand.perSecond(now), Tokens: b.tokens,
-			Taken: b.taken, Refused: b.refused,
-		})
+	s := State{Standing: k.Standing()}
+	for name := range k.buckets {
+		organisation, _ := k.Organisation(now, name)
+		s.Organisations = append(s.Organisations, organisation)
 	}
 	sort.Slice(s.Organisations, func(i, j int) bool { return s.Organisations[i].Name < s.Organisations[j].Name })
 	return s
 }
 
+// Standing returns by what the rates are kept here.
+func (k *Keeper) Standing() Standing {
+	return Standing{Allotter: k.fleet.Allotter, Nodes: k.fleet.Nodes, HeldUntil: k.heldUntil}
+}
+
+// Organisation returns one organisation's part at this node, and false if the rules do not name it.
+func (k *Keeper) Organisation(now time.Time, name string) (OrganisationState, bool) {
+	b := k.buckets[name]
+	if b == nil {
+		return OrganisationState{}, false
+	}
+	k.refill(now, b)
+	return OrganisationState{
+		Name: name, PerSecond: k.rate(now, b), Demand: b.demand.perSecond(now), Tokens: b.tokens,
+		Taken: b.taken, Refused: b.refused,
+	}, true
+}
+
 // minDemand is the demand, in requests a second, below which none is reported.
 const minDemand = 0.01
 
--- a/internal/zone/dfproute/dfproute.go
+++ b/internal/zone/dfproute/dfproute.go
@@ -56,6 +56,21 @@
 	StayInRegion bool
 	// RandomOnly draws one VM at random, without regard to load.
 	RandomOnly bool
+	// Changed, if not nil, is told when a VM is set aside or put back. It must not call the Router.
+	Changed func(Change)
+}
+
+// Change says that a VM was set aside, or put back, and by what it was judged.
+type Change struct {
+	At   time.Time
+	VM   dfpvm.VM
+	Back bool
+	// FailedPart is the moving part of failed calls; Latency and ServiceLatency are the mean times of
+	// successful calls there and at the whole service.
+	FailedPart              float64
+	Latency, ServiceLatency time.Duration
+	// Trial is when the VM is tried again.
+	Trial time.Time
 }
 
 // The parameters of routing.
--- a/internal/zone/dfproute/router.go
+++ b/internal/zone/dfproute/router.go
@@ -303,7 +303,9 @@
 	}
 	until := s.asideUntil.Load()
 	if until == 0 && s.hangs(now, e.service) {
-		s.setAside(now, rnd, e.service)
+		if s.setAside(now, rnd, e.service) {
+			r.changed(now, e.vm, s, e.service, false)
+		}
 		until = s.asideUntil.Load()
 	}
 	if until == 0 {
@@ -354,11 +356,27 @@
 		return
 	}
 	s.record(t.service, result)
-	if !r.cfg.NoSetAside && s.judge(t.service) {
-		s.setAside(now, rnd, t.service)
+	if !r.cfg.NoSetAside && s.judge(t.service) && s.setAside(now, rnd, t.service) {
+		r.changed(now, t.VM, s, t.service, false)
+	}
+}
+
+func (r *Router) changed(now time.Time, vm dfpvm.VM, s *vmState, stats *serviceStats, back bool) {
+	if r.cfg.Changed == nil {
+		return
+	}
+	change := Change{
+		At: now, VM: vm, Back: back, FailedPart: loadFloat(&s.failures),
+		Latency: seconds(loadFloat(&s.latency)), ServiceLatency: seconds(loadFloat(&stats.latency)),
 	}
+	if until := s.asideUntil.Load(); until != 0 {
+		change.Trial = time.Unix(0, until)
+	}
+	r.cfg.Changed(change)
 }
 
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
 // record takes a finished call into the VM's and the service's means.
 func (s *vmState) record(stats *serviceStats, result Result) {
 	if s.seen.Add(1) == goodSeen {
@@ -384,6 +402,7 @@
 		t.state.asideUntil.Store(t.state.nextTrial(now, rnd))
 	} else {
 		t.state.putBack(t.service)
+		r.changed(now, t.VM, t.state, t.service, true)
 	}
 	t.state.probing.Store(0)
 }
--- a/internal/zone/dfproute/state.go
+++ b/internal/zone/dfproute/state.go
@@ -180,19 +180,22 @@
 	return latency > slowFloor && latency > slowFactor*loadFloat(&stats.latency)
 }
 
-// setAside takes the VM out of service unless too many of its service are out already.
-func (s *vmState) setAside(now time.Time, rnd *rand.Rand, stats *serviceStats) {
+// setAside takes the VM out of service unless too many of its service are out already, and reports
+// whether it did.
+func (s *vmState) setAside(now time.Time, rnd *rand.Rand, stats *serviceStats) bool {
 	if s.asideUntil.Load() != 0 {
-		return
+		return false
 	}
 	limit := int64(SetAsidePart * float64(stats.vms.Load()))
 	if stats.aside.Add(1) > limit {
 		stats.aside.Add(-1)
-		return
+		return false
 	}
 	if !s.asideUntil.CompareAndSwap(0, s.nextTrial(now, rnd)) {
 		stats.aside.Add(-1)
+		return false
 	}
+	return true
 }
 
 // nextTrial returns when a VM set aside now is tried again, in Unix nanoseconds.
