Soak of real processes: random faults by signals, forwarders, the store and backend servers

dragonflyport-lab soak runs dragonflyport sidecar processes on loopback, with a forwarder before each node's links and its way to the store, and judges by what callers and backend servers saw.

--- a/cmd/dragonflyport-lab/main.go
+++ b/cmd/dragonflyport-lab/main.go
@@ -7,6 +7,7 @@
 //	dragonflyport-lab standin backend --listen 127.0.0.1:8000 --service ordering --egress http://127.0.0.1:9002
 //	dragonflyport-lab load --target http://127.0.0.1:9001 --organisation waldspiel:KEY:50 --route "GET /catalogue/1 low idempotent 1"
 //	dragonflyport-lab measure steady --deployment schatzspur --seed 1 --json
+//	dragonflyport-lab soak --seed 1 --seeds 50 --concurrent 3
 //
 // It exits with 0 when done, 1 when a run failed or a promise was broken, and 2
 // for wrong usage.
@@ -37,6 +38,7 @@
 	}, "")
 	commander.Register(&loadCommand{}, "")
 	commander.Register(&measureCommand{}, "")
+	commander.Register(&soakCommand{}, "")
 	flag.Parse()
 	status := commander.Execute(ctx)
 	stop()
--- a/internal/standin/dfpendtoend/dfpendtoend.go
+++ b/internal/standin/dfpendtoend/dfpendtoend.go
@@ -36,9 +36,11 @@
 	endTimeout   = 15 * time.Second
 )
 
-// Fleet is a set of processes from one build.
+// Fleet is a set of processes from one build. It is safe for concurrent use.
 type Fleet struct {
-	dir       string
+	dir string
+
+	mu        sync.Mutex
 	processes []*Process
 }
 
@@ -84,6 +86,8 @@
 		close(p.ended)
 		return w.Close()
 	})
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.processes = append(f.processes, p)
 	return p, nil
 }
@@ -146,6 +150,9 @@
 // Signal sends a signal to the process.
 func (p *Process) Signal(sig syscall.Signal) error { return p.cmd.Process.Signal(sig) }
 
+// Ended is closed when the process has ended.
+func (p *Process) Ended() <-chan struct{} { return p.ended }
+
 // Wait waits until the process has ended and returns its error.
 func (p *Process) Wait() error {
 	select {
@@ -158,6 +165,8 @@
 
 // Close kills what still runs and waits for it.
 func (f *Fleet) Close() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	for _, p := range f.processes {
 		_ = p.cmd.Process.Kill()
 	}
--- a/internal/standin/dfpforwarder/dfpforwarder.go
+++ b/internal/standin/dfpforwarder/dfpforwarder.go
@@ -39,6 +39,8 @@
 	// Cut holds everything back, as a partition does: dials wait, and bytes of
 	// open connections arrive only after the cut has ended.
 	Cut bool `json:"cut"`
+	// CutBack holds back only what the dialled end sends: a partition in one direction.
+	CutBack bool `json:"cut_back"`
 	// Refuse closes open connections and refuses new ones.
 	Refuse bool `json:"refuse"`
 	// Delay is added to each direction.
@@ -137,14 +139,17 @@
 	return l.conditions, l.changed
 }
 
-// passable waits until the link is not cut. It returns ErrRefused if it refuses.
-func (l *Link) passable(ctx context.Context) error {
+// directionBack is the direction from the dialled end.
+const directionBack = 1
+
+// passable waits until the link is not cut in a direction. It returns ErrRefused if it refuses.
+func (l *Link) passable(ctx context.Context, direction int) error {
 	for {
 		conditions, changed := l.state()
 		if conditions.Refuse {
 			return ErrRefused
 		}
-		if !conditions.Cut {
+		if !conditions.Cut && (!conditions.CutBack || direction != directionBack) {
 			return nil
 		}
 		select {
@@ -158,7 +163,7 @@
 // Dial opens a connection over the link. It can stand in for net.Dialer's
 // DialContext.
 func (l *Link) Dial(ctx context.Context, network, address string) (net.Conn, error) {
-	if err := l.passable(ctx); err != nil {
+	if err := l.passable(ctx, directionBack); err != nil { // A handshake goes both ways.
 		return nil, &net.OpError{Op: "dial", Net: network, Err: err}
 	}
 	far, err := (&net.Dialer{}).DialContext(ctx, network, address)
@@ -206,7 +211,7 @@
 // forward carries one accepted connection to the target.
 func (l *Link) forward(ctx context.Context, near net.Conn, target string) {
 	defer func() { _ = near.Close() }()
-	if l.passable(ctx) != nil {
+	if l.passable(ctx, directionBack) != nil {
 		return
 	}
 	far, err := (&net.Dialer{}).DialContext(ctx, "tcp", target)
@@ -322,5 +327,5 @@
 	if err := l.limiters[direction].WaitN(ctx, len(c.bytes)); err != nil {
 		return err
 	}
-	return l.passable(ctx)
+	return l.passable(ctx, direction)
 }
--- /dev/null
+++ b/internal/standin/dfpsoak/dfpsoak.go
@@ -0,0 +1,300 @@
+// Package dfpsoak runs the real programs as separate processes on loopback, causes random faults from
+// outside them while callers send requests, and judges by what callers and backend servers saw.
+//
+// The faults of a run follow from its seed (schedule.go). They come through signals, through forwarders in
+// front of each node and of its way to the store, through the stand-in store, and through the stand-in backend
+// servers (site.go, backend.go); the programs know nothing of the soak. Several are in force at once. When
+// they have ended the fleet is left alone for a while, and some nodes are stopped in turn, so that what must
+// hold on a planned stop and after recovery can be judged, too (judge.go).
+//
+// # Usage
+//
+//	report, err := dfpsoak.Play(ctx, dfpsoak.Config{Seed: 7, Nodes: 8, Wire: dfpfake.Wire{}})
+//	fmt.Println(len(report.Broken))
+//
+// It ends only the processes that it started, by their ids.
+package dfpsoak
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"dragonflyport/internal/standin/dfpstore"
+)
+
+// ErrNotServed is returned by Play if the fleet serves nobody before the first fault.
+var ErrNotServed = errors.New("the fleet did not begin to serve")
+
+// Config configures a run. Zero fields take the defaults.
+type Config struct {
+	Seed uint64
+	// Nodes is the number of node processes.
+	Nodes int
+	// Duration is the time for which requests are sent.
+	Duration time.Duration
+	// Wire is how the programs are spoken with. It is required.
+	Wire Wire
+	// Progress takes a line at each fault; nil discards them.
+	Progress io.Writer
+}
+
+// The defaults of Config.
+const (
+	DefaultNodes    = 8
+	DefaultDuration = 30 * time.Second
+)
+
+// Bounds are the promises' limits in time and number that the programs are told of.
+type Bounds struct {
+	// ConfigWithin is the time from which a configuration is in force, WithdrawWithin the one from which a
+	// withdrawn key is not served, and DrainWithin the one from which a leaving backend server gets no work.
+	ConfigWithin, WithdrawWithin, DrainWithin time.Duration
+	// StopWithin is the time within which a process ends after SIGTERM.
+	StopWithin time.Duration
+	// RateWindow, RateOverage and RateSlack are the tolerance of rates.
+	RateWindow             time.Duration
+	RateOverage, RateSlack float64
+}
+
+// DefaultBounds are those of the users' platform.
+var DefaultBounds = Bounds{
+	ConfigWithin: 2500 * time.Millisecond, WithdrawWithin: 5 * time.Second, DrainWithin: 3 * time.Second,
+	StopWithin: 6 * time.Second, RateWindow: 5 * time.Second, RateOverage: 0.1, RateSlack: 20,
+}
+
+// Wire is how the programs are spoken with: formats and names, nothing that decides.
+type Wire interface {
+	// StoreHandler serves the store's protocol.
+	StoreHandler(store *dfpstore.Store) http.Handler
+	// ConfigurationKey is the store's key of the configuration, and Configuration its text.
+	ConfigurationKey() string
+	Configuration(rules Rules) []byte
+	// Settings returns the text of a node's settings file, and Command the program's arguments and
+	// environment for the file at path.
+	Settings(node Addresses, bounds Bounds) string
+	Command(node Addresses, path string) (args, env []string)
+	// NewCall makes a caller's request, and Judge says how it ended.
+	NewCall(ctx context.Context, callers string, call Call) (*http.Request, error)
+	Judge(response *http.Response, body []byte, call Call) Verdict
+	// ReadRequest reads what a backend server is asked for, Answer answers it, and Refuse says that it was
+	// not run.
+	ReadRequest(r *http.Request) Run
+	Answer(w http.ResponseWriter, run Run)
+	Refuse(w http.ResponseWriter)
+	// NewHeartbeat makes a backend server's heartbeat, and NewFarewell the word that it leaves.
+	NewHeartbeat(ctx context.Context, heartbeats string, beat Beat) (*http.Request, error)
+	NewFarewell(ctx context.Context, heartbeats string, beat Beat) (*http.Request, error)
+}
+
+// Addresses are one node's, as host:port, and where it stands.
+type Addresses struct {
+	Zone, Region, Service string
+	// Link is what other nodes are told and LinkListen where the node listens; a forwarder is between.
+	Link, LinkListen                    string
+	Callers, Ready, Heartbeats, Metrics string
+	Backend, Store                      string
+}
+
+// Rules are one configuration.
+type Rules struct {
+	Version       uint64
+	Organisations []Organisation
+	// Added are paths of routes beyond PathOrder, PathBrowse and PathStock; all have a slash at both ends.
+	Added []string
+}
+
+// Organisation is one organisation of a configuration. A Rate of 0 sets no limit.
+type Organisation struct {
+	Name        string
+	Keys        []string
+	Rate, Burst float64
+}
+
+// The routes that are always there: orders run at most once, at ServiceFront, which calls PathStock.
+const (
+	PathOrder    = "/shop/order/"
+	PathBrowse   = "/shop/"
+	PathStock    = "/stock/"
+	ServiceFront = "front"
+	ServiceDeep  = "deep"
+	// Timeout is that of each route.
+	Timeout = 3 * time.Second
+)
+
+// Call is one request of a caller.
+type Call struct {
+	ID           string
+	Path         string
+	Organisation string
+	Key          string
+	// Once says that it may run at most once.
+	Once bool
+	// Probe says that it asks for a route that may not be in force yet.
+	Probe bool
+	// Node is whose caller sent it, and Sent when.
+	Node int
+	Sent time.Time
+	// Ended and Verdict say how it ended.
+	Ended   time.Time
+	Verdict Verdict
+}
+
+// Verdict is how a call ended.
+type Verdict string
+
+// The verdicts.
+const (
+	// Completed is the whole answer of a backend server to this call, Failed its own failure.
+	Completed Verdict = "completed"
+	Failed    Verdict = "failed"
+	// NotRun is the promise that the call has not run and never will.
+	NotRun Verdict = "not_run"
+	// Denied says that there is no such key or route, or that the request is not proper.
+	Denied Verdict = "denied"
+	// Unknown promises nothing; Lost is no answer at all.
+	Unknown Verdict = "unknown"
+	Lost    Verdict = "lost"
+	// Wrong is an answer to another call, or not whole though it looks so.
+	Wrong Verdict = "wrong"
+)
+
+// Run is one run on a backend server.
+type Run struct {
+	ID, Path      string
+	Organisation  string
+	CallerService string
+	// Expected is the instance that the request is for.
+	Expected string
+	// KeySeen says that the caller's key was passed on.
+	KeySeen bool
+	// Instance, Service and At are set by the backend server.
+	Instance, Service string
+	At                time.Time
+}
+
+// Beat is one heartbeat of a backend server.
+type Beat struct {
+	Instance, Service string
+	Slots             int
+	Draining          bool
+	Sequence          uint64
+	Started           time.Time
+}
+
+// Report is the result of a run.
+type Report struct {
+	Seed   uint64   `json:"seed"`
+	Nodes  int      `json:"nodes"`
+	Faults []string `json:"faults"`
+	// Ended counts calls by how they ended, and Runs what ran.
+	Ended map[Verdict]int `json:"ended"`
+	Runs  int             `json:"runs"`
+	// Broken lists the broken promises; empty if all held.
+	Broken []string `json:"broken"`
+}
+
+// The parts of a run's duration: faults begin after the first, end with the second, and planned stops begin
+// with the third.
+const (
+	faultsFrom  = 0.07
+	faultsUntil = 0.5
+	stopsFrom   = 0.68
+)
+
+// Play plays one seed. An error means that the run itself failed.
+func Play(ctx context.Context, cfg Config) (*Report, error) {
+	if cfg.Nodes == 0 {
+		cfg.Nodes = DefaultNodes
+	}
+	if cfg.Duration == 0 {
+		cfg.Duration = DefaultDuration
+	}
+	if cfg.Progress == nil {
+		cfg.Progress = io.Discard
+	}
+	dir, err := os.MkdirTemp("", "dragonflyport-soak")
+	if err != nil {
+		return nil, fmt.Errorf("folder for the programs: %w", err)
+	}
+	defer func() { _ = os.RemoveAll(dir) }() // What is left there harms nobody.
+	s, err := newSite(ctx, cfg, dir)
+	if err != nil {
+		return nil, err
+	}
+	defer s.close()
+	if err := s.awaitService(ctx); err != nil {
+		return nil, err
+	}
+	return s.judged(ctx)
+}
+
+// judged sends load, causes the faults and judges.
+func (s *site) judged(ctx context.Context) (*Report, error) {
+	s.started = time.Now()
+	faults := newSchedule(rand.New(rand.NewPCG(s.cfg.Seed, 1)), s.cfg)
+	group, ctx := errgroup.WithContext(ctx)
+	loadEnd := s.started.Add(s.cfg.Duration)
+	for i := range s.nodes {
+		group.Go(func() error { return s.load(ctx, i, loadEnd) })
+		group.Go(func() error { return s.probe(ctx, i, loadEnd) })
+	}
+	for _, f := range faults {
+		group.Go(func() error {
+			if !sleepUntil(ctx, s.started.Add(f.at)) {
+				return ctx.Err()
+			}
+			s.note("%s", f)
+			return s.cause(ctx, f)
+		})
+	}
+	if err := group.Wait(); err != nil {
+		return nil, err
+	}
+	return s.report(), nil
+}
+
+// note records a fault.
+func (s *site) note(format string, args ...any) {
+	line := fmt.Sprintf("%5.2f s  ", time.Since(s.started).Seconds()) + fmt.Sprintf(format, args...)
+	s.mu.Lock()
+	s.faults = append(s.faults, line)
+	s.mu.Unlock()
+	fmt.Fprintln(s.cfg.Progress, line)
+}
+
+// report judges what has been seen.
+func (s *site) report() *Report {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.evidence.LastFrom = s.started.Add(time.Duration((1 - lastPart) * float64(s.cfg.Duration)))
+	s.evidence.Runs = nil
+	for _, n := range s.nodes {
+		s.evidence.Runs = append(s.evidence.Runs, n.backend.runs()...)
+	}
+	r := &Report{
+		Seed: s.cfg.Seed, Nodes: s.cfg.Nodes, Faults: s.faults, Ended: map[Verdict]int{}, Runs: len(s.evidence.Runs),
+		Broken: append([]string{}, Judge(s.evidence)...),
+	}
+	for _, c := range s.evidence.Calls {
+		r.Ended[c.Verdict]++
+	}
+	return r
+}
+
+// sleepUntil waits until a time; it returns false if ctx ends first.
+func sleepUntil(ctx context.Context, at time.Time) bool {
+	select {
+	case <-time.After(time.Until(at)):
+		return ctx.Err() == nil
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/internal/standin/dfpstore/dfpstore.go
+++ b/internal/standin/dfpstore/dfpstore.go
@@ -298,6 +298,15 @@
 	return &pb.CompareAndSwapResponse{Swapped: true, Entry: entry}, nil
 }
 
+// Put writes an entry without a condition, as operators do whom no fault meets.
+func (s *Store) Put(key string, value []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.entries[key] = &pb.Entry{Key: key, Value: value, Revision: s.revision}
+	s.publishLocked(&pb.WatchEvent{Changed: s.entries[key], Revision: s.revision})
+}
+
 func (s *Store) deleteLocked(key string) {
 	s.revision++
 	delete(s.entries, key)
--- a/tools/test.sh
+++ b/tools/test.sh
@@ -20,7 +20,7 @@
 # Packages whose tests run nodes in real time. They run one after the other with nothing
 # beside them, since a starved node is silent and is treated as such.
 real_time=$(go list ./internal/vm/dfpnode ./internal/standin/dfpproofs ./internal/standin/dfpendtoend \
-  ./internal/standin/dfplab ./internal/link/dfppeer ./platform/dfpadapter)
+  ./internal/standin/dfplab ./internal/link/dfppeer ./platform/dfpadapter ./platform/dfpfake)
 without=$(go list ./... | grep -vxF "${with_rapid:-none}" | grep -vxF "$real_time")
 status=0
 go test -race -timeout 10m ${skip:+-skip "$skip"} $without || status=1
