The allotter hands its reserves over, and one that cannot be reached is passed over

And whenever the first node left, two seconds of floors followed.

Now a failed dial of a link counts as a failure in the roster, so that a verdict follows; an allotter must not be failing; an allotter that finds another in its place hands over what is spent of its reserves, and the next one goes on at once.

An organisation that nobody asked for through a whole window no longer counts as spent.

--- a/internal/link/dfppeer/dfppeer.go
+++ b/internal/link/dfppeer/dfppeer.go
@@ -133,6 +133,9 @@
 	// Observe is called for every outcome and heartbeat of another node. It
 	// must not block.
 	Observe func(from string, incarnation, version uint64, load dfpcall.Load)
+	// Unreachable is called when no connection to another node could be made; nil where nobody asks.
+	// Refused says that its address refuses connections.
+	Unreachable func(address string, refused bool)
 	// Dial opens a connection; nil is a plain net.Dialer.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
--- a/internal/link/dfppeer/peer.go
+++ b/internal/link/dfppeer/peer.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"dragonflyport/internal/contract/dfpcall"
@@ -111,6 +113,10 @@
 	}
 	p.mu.Unlock()
 	close(d.done)
+	// One that answers, but not as it should, is there.
+	if tell := p.mesh.cfg.Unreachable; err != nil && tell != nil && !errors.Is(err, ErrSecret) && !errors.Is(err, ErrWrongNode) {
+		tell(p.address, errors.Is(err, syscall.ECONNREFUSED))
+	}
 	if d.conn != nil {
 		for _, msg := range tells {
 			d.conn.tell(msg)
--- a/internal/operator/dfpprocess/dfpprocess.go
+++ b/internal/operator/dfpprocess/dfpprocess.go
@@ -14,6 +14,7 @@
 	"net"
 	"os"
 	"os/signal"
+	"runtime"
 	"runtime/debug"
 	"syscall"
 
@@ -84,8 +85,9 @@
 }
 
 const (
-	// collectorPercent lets the heap grow to five times what is live between two collections. A
-	// node's heap is a few megabytes, so that at Go's 100 it would collect many times a second.
+	// collectorPercent is how much the heap may grow between two collections, in percent of what is live.
+	// A node's live heap is a megabyte or two, and memory costs more than the collections;
+	// docs/measures-platform.md has both at 30, 100 and 400.
 	collectorPercent = 30
 	// collectorLimit is the memory in bytes that a node may have by its settings' default.
 	collectorLimit = 64 << 20
@@ -97,6 +99,8 @@
 // TuneCollector sets the garbage collector for short pauses within so many bytes of memory,
 // unless Go's own variables GOGC and GOMEMLIMIT say otherwise.
 func TuneCollector(memory int64) {
+	// Nobody reads a profile of memory, whose table takes more than a megabyte.
+	runtime.MemProfileRate = 0
 	if os.Getenv("GOGC") == "" {
 		debug.SetGCPercent(collectorPercent)
 	}
--- a/internal/standin/dfpsoak/backend.go
+++ b/internal/standin/dfpsoak/backend.go
@@ -45,15 +45,7 @@
 
 // start starts a new instance.
 func (b *backend) start() error {
-	var listener net.Listener
-	var err error
-	// The port may be taken for a moment by an outgoing connection of another process.
-	for range 20 {
-		if listener, err = net.Listen("tcp", b.node.addr.Backend); err == nil {
-			break
-		}
-		time.Sleep(replacedAfter / 5)
-	}
+	listener, err := net.Listen("tcp", b.node.addr.Backend)
 	if err != nil {
 		return fmt.Errorf("backend server of node %d: %w", b.node.index, err)
 	}
--- a/internal/standin/dfpsoak/site.go
+++ b/internal/standin/dfpsoak/site.go
@@ -23,6 +23,8 @@
 
 const (
 	zones = 2
+	// firstPort is the lowest port of a node's listeners.
+	firstPort = 7100
 	// callsPerSecond is what callers send through each node.
 	callsPerSecond = 12.0
 	callTimeout    = Timeout + time.Second
@@ -152,12 +154,11 @@
 		if i/zones%2 == 1 {
 			n.addr.Service = ServiceDeep
 		}
-		var err error
-		for _, address := range []*string{&n.addr.LinkListen, &n.addr.Callers, &n.addr.Ready, &n.addr.Heartbeats, &n.addr.Metrics, &n.addr.Backend} {
-			if *address, err = freeAddress(); err != nil {
-				return err
-			}
+		host := s.loopback(i)
+		for port, address := range []*string{&n.addr.LinkListen, &n.addr.Callers, &n.addr.Ready, &n.addr.Heartbeats, &n.addr.Metrics, &n.addr.Backend} {
+			*address = fmt.Sprintf("%s:%d", host, firstPort+port)
 		}
+		var err error
 		if n.addr.Link, err = s.forward(n.inbound, n.addr.LinkListen); err != nil {
 			return err
 		}
@@ -180,13 +181,11 @@
 	return nil
 }
 
-// freeAddress returns a loopback address whose port was free just now.
-func freeAddress() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	return listener.Addr().String(), listener.Close()
+// loopback returns a loopback address of a node's own. Outgoing connections have another one, so that none
+// takes a port of the node's while it is down, and seeds that run at once do not meet.
+func (s *site) loopback(node int) string {
+	const most = 250
+	return fmt.Sprintf("127.%d.%d.%d", 1+os.Getpid()%most, 1+s.cfg.Seed%most, 1+node%most)
 }
 
 // start starts a node's process and watches that it does not end by itself.
--- a/internal/vm/dfpnode/dfpnode.go
+++ b/internal/vm/dfpnode/dfpnode.go
@@ -280,6 +280,7 @@
 		Run:         n.runUnlessDrained,
 		Control:     n.handleControl,
 		Observe:     n.observePeer,
+		Unreachable: n.roster.unreachable,
 		Dial:        cfg.Dial,
 		SilentAfter: cfg.LinkSilentAfter,
 		Group:       n.group,
--- a/internal/vm/dfpnode/dfpnode_prometheus.go
+++ b/internal/vm/dfpnode/dfpnode_prometheus.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"dragonflyport/internal/contract/dfpcall"
@@ -32,7 +33,7 @@
 			Name: "dragonflyport_request_seconds", Help: "Time of callers' requests in seconds.", Buckets: latencyBuckets,
 		}, []string{"service", "outcome"}),
 	}
-	e.registry.MustRegister(e.requests, e.seconds)
+	e.registry.MustRegister(e.requests, e.seconds, collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	for _, gauge := range []struct {
 		name, help string
 		value      func() float64
--- a/internal/vm/dfpnode/dfpnode_quota.go
+++ b/internal/vm/dfpnode/dfpnode_quota.go
@@ -104,8 +104,7 @@
 		case <-ticker.C:
 			fleet := l.n.roster.fleet()
 			l.do(func(now time.Time, k *dfpquota.Keeper) []dfpquota.Send {
-				k.SetFleet(now, fleet)
-				return k.Tick(now)
+				return append(k.SetFleet(now, fleet), k.Tick(now)...)
 			})
 			noted = l.note(noted)
 		}
@@ -182,8 +181,8 @@
 }
 
 // fleet returns the number of nodes that may take callers' requests, and the one to which the
-// nodes report: of those that answer, the first by address, so that all that see the same fleet
-// report to the same node.
+// nodes report: of those that can be reached, the first by address, so that all that see the same
+// fleet report to the same node.
 func (l *rosterLoop) fleet() dfpquota.Fleet {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -193,7 +192,7 @@
 			continue
 		}
 		fleet.Nodes++
-		if m.State == dfproster.StateUp && !m.VM.Draining && fleet.Allotter == "" {
+		if m.State == dfproster.StateUp && !m.Failing && !m.VM.Draining && fleet.Allotter == "" {
 			fleet.Allotter = m.VM.Address
 		}
 	}
--- a/internal/vm/dfpnode/dfpnode_roster.go
+++ b/internal/vm/dfpnode/dfpnode_roster.go
@@ -167,7 +167,11 @@
 		l.do(func(r *dfproster.Roster) dfproster.Effects { return r.Heard(time.Now(), address, 0) })
 		return
 	}
-	refused := errors.Is(err, syscall.ECONNREFUSED)
+	l.unreachable(address, errors.Is(err, syscall.ECONNREFUSED))
+}
+
+// unreachable takes in that a VM's process did not answer, or that its address refuses connections.
+func (l *rosterLoop) unreachable(address string, refused bool) {
 	if refused {
 		l.n.rates.setUnreachable(address)
 	}
--- a/internal/zone/dfpquota/allotter.go
+++ b/internal/zone/dfpquota/allotter.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -12,6 +13,11 @@
 	majoritySince time.Time
 	hasMajority   bool
 	reserves      map[string]*reserve
+	// inheritedUntil is until when the allotter gives from reserves that another one handed over.
+	inheritedUntil time.Time
+	// majorityDue is when a majority must be reporting to one that has inherited. Until then nodes
+	// that report to nobody use no more than the allotments that they had.
+	majorityDue time.Time
 }
 
 // reporter is a node that reports here.
@@ -47,8 +53,10 @@
 	}
 	r.given = slices.DeleteFunc(r.given, func(g given) bool { return g.nonce < m.Held })
 	a.forget(now)
-	if !a.established(now, nodes) {
-		return Message{}, false
+	a.count(now, nodes)
+	if !a.established(now) {
+		// A new process lives on the reserve meanwhile, which leaves no room for its floor.
+		return Message{Nonce: m.Nonce}, m.Held == 0 && a.gives(now)
 	}
 	answer := Message{Nonce: m.Nonce}
 	perSecond := make(map[string]float64, len(limits))
@@ -64,15 +72,68 @@
 
 // spot takes tokens from an organisation's reserve, of which a window has so many.
 func (a *allotter) spot(now time.Time, ask Demand, window time.Duration, number float64) float64 {
-	if !a.hasMajority || now.Sub(a.majoritySince) < AllotmentLife {
+	if !a.gives(now) {
 		return 0
 	}
-	r := a.reserves[ask.Organisation]
+	return a.reserveOf(now, window, ask.Organisation, number).take(now, window, number, ask.PerSecond)
+}
+
+// reserveOf returns an organisation's reserve. One that nobody has asked for counts as spent evenly, unless
+// this allotter has had it for a whole window.
+func (a *allotter) reserveOf(now time.Time, window time.Duration, organisation string, number float64) *reserve {
+	r := a.reserves[organisation]
 	if r == nil {
+		if a.hasMajority && now.Sub(a.majoritySince) >= window+AllotmentLife {
+			number = 0
+		}
 		r = newReserve(now, window, number)
-		a.reserves[ask.Organisation] = r
+		a.reserves[organisation] = r
+	}
+	return r
+}
+
+// gives reports whether the allotter may give from its reserves.
+func (a *allotter) gives(now time.Time) bool {
+	return a.established(now) || now.Before(a.inheritedUntil) && (a.hasMajority || now.Before(a.majorityDue))
+}
+
+// established reports whether a majority of the fleet has been reporting here for so long that no
+// other allotter's word is in use.
+func (a *allotter) established(now time.Time) bool {
+	return a.hasMajority && now.Sub(a.majoritySince) >= AllotmentLife
+}
+
+// handOver returns what was spent of the reserves, and for how long the next allotter may go on with
+// them; 0 if this one gave nothing. It forgets all: from now on it gives nothing. One that has only
+// inherited itself passes on what is left of its time, since nodes without allotments use their floors
+// meanwhile.
+func (a *allotter) handOver(now time.Time, window time.Duration) (life time.Duration, spent []Spent) {
+	life = max(0, a.inheritedUntil.Sub(now))
+	if a.established(now) {
+		life = inheritLife
+	}
+	for organisation, r := range a.reserves {
+		spent = append(spent, Spent{organisation, r.spent(now, window)})
+	}
+	*a = newAllotter()
+	slices.SortFunc(spent, func(a, b Spent) int { return strings.Compare(a.Organisation, b.Organisation) })
+	return life, spent
+}
+
+// inherit goes on with the reserves of another allotter. What was given here counts, too.
+func (a *allotter) inherit(now time.Time, window, life time.Duration, spent []Spent) {
+	if !a.gives(now) {
+		a.reserves = map[string]*reserve{}
+	}
+	a.inheritedUntil, a.majorityDue = now.Add(min(life, inheritLife)), now.Add(newsTime)
+	for _, s := range spent {
+		r := a.reserves[s.Organisation]
+		if r == nil {
+			r = newReserve(now, window, 0)
+			a.reserves[s.Organisation] = r
+		}
+		r.add(now, window, s.Slices)
 	}
-	return r.take(now, window, number, ask.PerSecond)
 }
 
 // forget drops what has lapsed. The margin over AllotmentLife covers clocks that differ in speed.
@@ -88,19 +149,19 @@
 	}
 }
 
-// established reports whether a majority of the fleet has been reporting here for so long that no
-// other allotter's word is in use.
-func (a *allotter) established(now time.Time, nodes int) bool {
+// count notes whether a majority of the fleet is reporting here, and since when.
+func (a *allotter) count(now time.Time, nodes int) {
 	if 2*len(a.reporters) <= nodes {
 		a.hasMajority = false
-		return false
+		return
 	}
 	if !a.hasMajority {
 		a.hasMajority, a.majoritySince = true, now
-		// Meanwhile nodes have used their floors, or another allotter's reserve.
-		a.reserves = map[string]*reserve{}
+		if !now.Before(a.inheritedUntil) {
+			// Meanwhile nodes have used their floors, or another allotter's reserve.
+			a.reserves = map[string]*reserve{}
+		}
 	}
-	return now.Sub(a.majoritySince) >= AllotmentLife
 }
 
 // share returns what a node may use of an organisation's limit, in requests a second. The nodes' demands are met first, with headroom and
--- a/internal/zone/dfpquota/dfpquota.go
+++ b/internal/zone/dfpquota/dfpquota.go
@@ -15,7 +15,10 @@
 //   - a report binds its sender to one allotter: a node that reports to another one first drops
 //     what it holds, so that of two allotters at most one is heard by a majority of the fleet;
 //   - an allotter gives nothing until it has been heard by a majority for AllotmentLife, after
-//     which whatever an earlier one gave has lapsed.
+//     which whatever an earlier one gave has lapsed;
+//   - an allotter that finds another one in its place, because it leaves or because a node with a
+//     lower address has come, hands its reserves over and gives nothing from then on. The next one
+//     goes on with them for inheritLife, by when a majority must have found it.
 //
 // A part of each rate, ReservePart, stays with the allotter for nodes that run short between two
 // reports: requests come in by chance, and a fleet's parts of a small rate are
@@ -32,7 +35,7 @@
 //
 //	keeper := dfpquota.New(now, dfpquota.Config{Self: address, Window: 5 * time.Second})
 //	keeper.SetRules(now, organisations)
-//	keeper.SetFleet(now, dfpquota.Fleet{Nodes: 18, Allotter: address})
+//	sends := keeper.SetFleet(now, dfpquota.Fleet{Nodes: 18, Allotter: address})
 //	verdict, sends := keeper.Take(now, "waldspiel", false)
 //	sends := keeper.Tick(now)              // Every TickInterval.
 //	sends = keeper.Handle(now, from, msg)  // For each message of another node.
@@ -51,6 +54,12 @@
 	ReportInterval = 500 * time.Millisecond
 	// AllotmentLife is how long an allotment may be used, counted from when its report was sent.
 	AllotmentLife = 1500 * time.Millisecond
+	// newsTime is within what nodes hear of another allotter, and report to it: two ticks of the
+	// roster's and one of the reports'.
+	newsTime = 450 * time.Millisecond
+	// inheritLife is how long an allotter gives from reserves that were handed over before it is
+	// established.
+	inheritLife = AllotmentLife + newsTime
 	// FloorPart is the part of each rate that nodes without an allotment divide evenly. The rest is
 	// left for a fleet whose size they know only about.
 	FloorPart = 0.5
@@ -158,6 +167,17 @@
 	Asked float64 `cbor:"6,keyasint,omitempty"`
 	// Demands are the report's, or in the answer what the node may use.
 	Demands []Demand `cbor:"3,keyasint,omitempty"`
+	// Handover, if not 0, says that the sender no longer divides the rates: the receiver may go on with
+	// its reserves for so long before it is established. Spent is what is spent of each.
+	Handover time.Duration `cbor:"7,keyasint,omitempty"`
+	Spent    []Spent       `cbor:"8,keyasint,omitempty"`
+}
+
+// Spent is what has been given of one organisation's reserve lately, in the slices of a window, the
+// present one first.
+type Spent struct {
+	Organisation string   `cbor:"1,keyasint"`
+	Slices       []uint32 `cbor:"2,keyasint"`
 }
 
 // Send is a message for a node.
--- a/internal/zone/dfpquota/dfpquota_test.go
+++ b/internal/zone/dfpquota/dfpquota_test.go
@@ -25,6 +25,10 @@
 	cut     map[string]bool
 	wire    []letter
 	waiting []waiting
+	// allotter is the one that new processes find.
+	allotter string
+	// appointed is when each node hears of another allotter, and of which.
+	appointed map[string]appointment
 	// runs are the times at which requests ran.
 	runs []time.Time
 	// asked counts requests.
@@ -38,6 +42,12 @@
 	try  int
 }
 
+// appointment is the news of an allotter on its way to one node.
+type appointment struct {
+	due      time.Time
+	allotter string
+}
+
 type letter struct {
 	due      time.Time
 	from, to string
@@ -53,7 +63,7 @@
 func name(i int) string { return fmt.Sprintf("node-%02d", i) }
 
 func newWorld(nodes int, o dfpquota.Organisation) *world {
-	w := &world{now: epoch, keepers: map[string]*dfpquota.Keeper{}, cut: map[string]bool{}}
+	w := &world{now: epoch, allotter: name(0), keepers: map[string]*dfpquota.Keeper{}, cut: map[string]bool{}, appointed: map[string]appointment{}}
 	for i := range nodes {
 		w.start(name(i), nodes, o)
 	}
@@ -66,7 +76,7 @@
 	cfg.Self = node
 	k := dfpquota.New(w.now, cfg)
 	k.SetRules(w.now, []dfpquota.Organisation{o})
-	k.SetFleet(w.now, dfpquota.Fleet{Nodes: nodes, Allotter: name(0)})
+	k.SetFleet(w.now, dfpquota.Fleet{Nodes: nodes, Allotter: w.allotter})
 	w.keepers[node] = k
 }
 
@@ -78,9 +88,26 @@
 	}
 }
 
+// newsTime is how long nodes take at most to hear of another allotter.
+const newsTime = 500 * time.Millisecond
+
+// appoint makes another node the allotter; each hears of it at a time of its own.
+func (w *world) appoint(allotter string, rnd *rand.Rand) {
+	w.allotter = allotter
+	for i := range len(w.keepers) {
+		w.appointed[name(i)] = appointment{w.now.Add(time.Duration(rnd.Int64N(int64(newsTime)))), allotter}
+	}
+}
+
 // advance moves the time on by one step.
 func (w *world) advance() {
 	w.now = w.now.Add(step)
+	for i := range len(w.keepers) {
+		if news, found := w.appointed[name(i)]; found && !news.due.After(w.now) {
+			delete(w.appointed, name(i))
+			w.send(name(i), w.keepers[name(i)].SetFleet(w.now, dfpquota.Fleet{Nodes: len(w.keepers), Allotter: news.allotter}))
+		}
+	}
 	due := w.wire
 	w.wire = nil
 	for _, l := range due {
@@ -165,6 +192,8 @@
 			case p < 0.008:
 				node := name(rnd.IntN(nodes))
 				w.cut[node] = !w.cut[node]
+			case p < 0.011:
+				w.appoint(name(rnd.IntN(nodes)), rnd)
 			}
 			for range 1 + int(3*o.Rate*step.Seconds()) {
 				w.ask(name(rnd.IntN(nodes)))
@@ -194,6 +223,33 @@
 	}
 }
 
+// TestPlannedChangeOfAllotter sends four fifths of the rate while the node that divides it leaves: its
+// reserve must go on, without more than the rate.
+func TestPlannedChangeOfAllotter(t *testing.T) {
+	o := dfpquota.Organisation{Name: buyer, Rate: 100, Burst: 100}
+	const nodes = 12
+	w := newWorld(nodes, o)
+	rnd := rand.New(rand.NewPCG(3, 3))
+	asked, ran := 0, 0
+	due := 0.0
+	for w.now.Sub(epoch) < 20*time.Second {
+		if w.now.Sub(epoch) == 15*time.Second {
+			w.appoint(name(5), rnd)
+			asked, ran = w.asked, len(w.runs)
+		}
+		w.advance()
+		if w.now.Sub(epoch) < 8*time.Second {
+			continue
+		}
+		for due += step.Seconds() * 0.8 * (o.Rate + o.Burst/config.Window.Seconds()) * 2 * rnd.Float64(); due >= 1; due-- {
+			w.ask(name(rnd.IntN(nodes)))
+		}
+	}
+	refused := 1 - float64(len(w.runs)-ran)/float64(w.asked-asked)
+	assert.Assert(t, refused < 0.05, "%.3f of %d refused", refused, w.asked-asked)
+	assert.Assert(t, w.worst() <= allowed(o))
+}
+
 // TestFewAreRefusedWithinRate sends nine tenths of the rate in clumps to nodes at random.
 func TestFewAreRefusedWithinRate(t *testing.T) {
 	for _, tc := range []struct {
--- a/internal/zone/dfpquota/keeper.go
+++ b/internal/zone/dfpquota/keeper.go
@@ -19,6 +19,8 @@
 	// heldNonce is the report that the allotment in use answers.
 	heldNonce uint64
 	heldUntil time.Time
+	// askUntil is until when the allotter is asked for tokens without another word of it.
+	askUntil time.Time
 
 	allotter allotter
 }
@@ -68,20 +70,35 @@
 }
 
 // SetFleet tells the keeper of the fleet. To report to another node means to drop what the
-// one before has allotted.
-func (k *Keeper) SetFleet(now time.Time, fleet Fleet) {
+// one before has allotted. If that was this node, it hands its reserves over.
+func (k *Keeper) SetFleet(now time.Time, fleet Fleet) []Send {
 	fleet.Nodes = max(fleet.Nodes, 1)
 	if fleet == k.fleet {
-		return
+		return nil
 	}
-	moved := fleet.Allotter != k.fleet.Allotter
+	before := k.fleet.Allotter
 	k.refillAll(now)
 	k.fleet = fleet
-	if moved {
-		k.drop(now)
-		k.sent = map[uint64]time.Time{}
-		k.nextReport = now
+	if fleet.Allotter == before {
+		return nil
+	}
+	k.drop(now)
+	k.askUntil = now.Add(inheritLife)
+	k.sent = map[uint64]time.Time{}
+	k.nextReport = now
+	if before != k.cfg.Self || fleet.Allotter == "" {
+		return nil
+	}
+	for name, b := range k.buckets {
+		if b.organisation.Rate > 0 {
+			k.allotter.reserveOf(now, k.cfg.Window, name, k.reserveNumber(b.organisation))
+		}
 	}
+	life, spent := k.allotter.handOver(now, k.cfg.Window)
+	if life == 0 {
+		return nil
+	}
+	return []Send{{fleet.Allotter, Message{Handover: life, Spent: spent}}}
 }
 
 // Take decides on one request. Repeated says that it has waited and is decided on again. An
@@ -114,13 +131,13 @@
 
 // ask asks for tokens at once where the node runs short, for as many waiting requests more and for
 // what it will be asked for next. It asks for nothing shortly after it got less than it asked for,
-// nor where it holds no allotment, which shows that the allotter cannot be reached.
+// nor where the allotter has given nothing for long.
 func (k *Keeper) ask(now time.Time, b *bucket, waiting float64) []Send {
 	if now.Sub(b.askedAt) >= AskLife {
 		b.asked, b.wanted = 0, 0
 	}
 	b.wanted += waiting
-	if b.tokens >= 1 || b.wanted <= b.asked && b.asked > 0 || now.Before(b.deniedUntil) || !now.Before(k.heldUntil) {
+	if b.tokens >= 1 || b.wanted <= b.asked && b.asked > 0 || now.Before(b.deniedUntil) || !now.Before(k.askUntil) {
 		return nil
 	}
 	number := math.Ceil(b.wanted - b.asked + b.demand.perSecond(now)*spotHorizon.Seconds())
@@ -237,6 +254,10 @@
 
 // Handle takes a message of another node, or of this one to itself.
 func (k *Keeper) Handle(now time.Time, from string, m Message) []Send {
+	if m.Handover > 0 {
+		k.allotter.inherit(now, k.cfg.Window, m.Handover, m.Spent)
+		return nil
+	}
 	if !m.Report {
 		if from == k.fleet.Allotter {
 			k.take(now, m)
@@ -263,9 +284,7 @@
 	if b == nil || b.organisation.Rate <= 0 {
 		return nil
 	}
-	o := b.organisation
-	window := ReservePart * k.cfg.sustained(o) * k.cfg.Window.Seconds()
-	number := k.allotter.spot(now, ask, k.cfg.Window, window)
+	number := k.allotter.spot(now, ask, k.cfg.Window, k.reserveNumber(b.organisation))
 	answer := Message{Spot: &Demand{ask.Organisation, number}, Asked: ask.PerSecond}
 	if from == k.cfg.Self {
 		k.take(now, answer)
@@ -274,6 +293,11 @@
 	return []Send{{from, answer}}
 }
 
+// reserveNumber is how many tokens of an organisation the reserve has in a window.
+func (k *Keeper) reserveNumber(o Organisation) float64 {
+	return ReservePart * k.cfg.sustained(o) * k.cfg.Window.Seconds()
+}
+
 // limits returns what the whole fleet may run of each limited organisation, in requests a second.
 func (k *Keeper) limits() map[string]float64 {
 	limits := make(map[string]float64, len(k.buckets))
@@ -291,6 +315,9 @@
 		if b := k.buckets[m.Spot.Organisation]; b != nil {
 			k.refill(now, b)
 			b.tokens += m.Spot.PerSecond
+			if m.Spot.PerSecond > 0 {
+				k.askUntil = now.Add(AllotmentLife)
+			}
 			if m.Spot.PerSecond < m.Asked {
 				b.deniedUntil = now.Add(deniedTime)
 			}
@@ -305,6 +332,7 @@
 	k.refillAll(now)
 	delete(k.sent, m.Nonce)
 	k.heldNonce, k.heldUntil = m.Nonce, sentAt.Add(AllotmentLife)
+	k.askUntil = k.heldUntil
 	for _, b := range k.buckets {
 		b.allotted = 0
 	}
--- a/internal/zone/dfpquota/reserve.go
+++ b/internal/zone/dfpquota/reserve.go
@@ -33,12 +33,7 @@
 
 // take takes up to wanted whole tokens, of which a window has so many as number.
 func (r *reserve) take(now time.Time, window time.Duration, number, wanted float64) float64 {
-	slice := sliceOf(now, window)
-	r.slice = max(r.slice, slice-int64(len(r.slices)))
-	for r.slice < slice {
-		r.slice++
-		r.slices[r.index()] = 0
-	}
+	r.advance(now, window)
 	spent := 0.0
 	for _, n := range r.slices {
 		spent += n
@@ -48,4 +43,39 @@
 	return taken
 }
 
+// advance forgets the slices that have left the window.
+func (r *reserve) advance(now time.Time, window time.Duration) {
+	slice := sliceOf(now, window)
+	r.slice = max(r.slice, slice-int64(len(r.slices)))
+	for r.slice < slice {
+		r.slice++
+		r.slices[r.index()] = 0
+	}
+}
+
+// spent returns what was taken in each slice, the present one first, rounded up.
+func (r *reserve) spent(now time.Time, window time.Duration) []uint32 {
+	r.advance(now, window)
+	spent := make([]uint32, len(r.slices))
+	for age := range spent {
+		spent[age] = uint32(math.Ceil(*r.aged(age)))
+	}
+	return spent
+}
+
+// add counts what another allotter has given. Its slices are older than these by the time of the
+// message, so that what they hold stays counted for longer.
+func (r *reserve) add(now time.Time, window time.Duration, spent []uint32) {
+	r.advance(now, window)
+	for age, n := range spent[:min(len(spent), len(r.slices))] {
+		*r.aged(age) += float64(n)
+	}
+}
+
+// aged returns the slice that is so many before the present one.
+func (r *reserve) aged(age int) *float64 {
+	n := int64(len(r.slices))
+	return &r.slices[((r.slice-int64(age))%n+n)%n]
+}
+
 func (r *reserve) index() int { return int(r.slice % int64(len(r.slices))) }
--- a/internal/zone/dfproster/roster.go
+++ b/internal/zone/dfproster/roster.go
@@ -97,7 +97,7 @@
 	members := make([]Member, 0, len(r.addresses))
 	for _, address := range r.addresses {
 		rec := r.records[address]
-		members = append(members, Member{VM: rec.vm, State: rec.state, Lapsed: rec.lapsed})
+		members = append(members, Member{VM: rec.vm, State: rec.state, Lapsed: rec.lapsed, Failing: rec.failures > 0})
 	}
 	return members
 }
