--- a/internal/contract/dfpconfig/dfpconfig.go
+++ b/internal/contract/dfpconfig/dfpconfig.go
@@ -69,7 +69,7 @@
 	// LonePollAfter is the age of the node's knowledge after which it reads the
 	// platform though it is no watcher; default 3 s.
 	LonePollAfter time.Duration
-	// ZonePolls is the number of such reads a second that a zone's nodes share; default 20.
+	// ZonePolls is the number of such reads a second that a zone's nodes share; default 8.
 	ZonePolls float64
 	// StaleAfter is the age of knowledge from which on Stale reports true; default 10 s.
 	StaleAfter time.Duration
@@ -99,7 +99,7 @@
 	setDefault(&c.AskPeriod, 500*time.Millisecond)
 	setDefault(&c.PullTimeout, 500*time.Millisecond)
 	setDefault(&c.LonePollAfter, 3*time.Second)
-	setDefault(&c.ZonePolls, 20)
+	setDefault(&c.ZonePolls, 8)
 	setDefault(&c.StaleAfter, 10*time.Second)
 	if c.Parse == nil {
 		c.Parse = dfprules.Parse
--- a/internal/operator/dfpprocess/dfpprocess.go
+++ b/internal/operator/dfpprocess/dfpprocess.go
@@ -14,7 +14,6 @@
 	"net"
 	"os"
 	"os/signal"
-	"runtime"
 	"runtime/debug"
 	"syscall"
 
@@ -99,8 +98,6 @@
 // TuneCollector sets the garbage collector for short pauses within so many bytes of memory,
 // unless Go's own variables GOGC and GOMEMLIMIT say otherwise.
 func TuneCollector(memory int64) {
-	// Nobody reads a profile of memory, whose table takes more than a megabyte.
-	runtime.MemProfileRate = 0
 	if os.Getenv("GOGC") == "" {
 		debug.SetGCPercent(collectorPercent)
 	}
--- a/internal/vm/dfpnode/dfpnode_roster.go
+++ b/internal/vm/dfpnode/dfpnode_roster.go
@@ -20,8 +20,11 @@
 )
 
 const (
-	probeTimeout  = 1500 * time.Millisecond
-	announcePause = 500 * time.Millisecond
+	probeTimeout = 1500 * time.Millisecond
+	// announcePause is the time after a failed write of the entry, and the least between two: an entry that
+	// lapsed while the platform was away has to be back within two seconds, and a fleet that starts
+	// changes its entries twice in the first.
+	announcePause = 800 * time.Millisecond
 	watchCheck    = time.Second
 )
 
@@ -70,10 +73,7 @@
 		l.n.group.Go(func() error { l.probe(address); return nil })
 	}
 	if effects.Announce {
-		select {
-		case l.announce <- struct{}{}:
-		default:
-		}
+		l.wantAnnounce()
 	}
 }
 
@@ -189,8 +189,6 @@
 func (l *rosterLoop) runAnnounce() error {
 	renew := time.NewTicker(dfproster.LeaseTTL / 3)
 	defer renew.Stop()
-	pause := time.NewTimer(time.Hour)
-	defer pause.Stop()
 	for {
 		select {
 		case <-l.n.life.Done():
@@ -200,13 +198,21 @@
 				continue
 			}
 		case <-l.announce:
-		case <-pause.C:
 		}
 		err := l.write(l.n.life)
 		l.n.heardPlatform(err)
 		if err != nil {
-			pause.Reset(announcePause)
+			l.wantAnnounce()
 		}
+		l.n.pause(announcePause)
+	}
+}
+
+// wantAnnounce has the entry written anew.
+func (l *rosterLoop) wantAnnounce() {
+	select {
+	case l.announce <- struct{}{}:
+	default: // One wish is enough.
 	}
 }
 
