A node that does not know the fleet yet has no part of the rates; VMs that refuse connections still count

Cause, by reading: a process that had just started counted one node, itself, until the list of VMs came, and so took half of each rate for its own; after all power is lost that is half of each rate at every node. And since failed dials now count in the roster, a partition that resets connections would have made each side count only itself. Reopening a watch after failures now waits 1.5 s at most, not 5 s: without the list a node can neither route nor keep rates.

--- a/internal/link/dfpplatform/dfpplatform.go
+++ b/internal/link/dfpplatform/dfpplatform.go
@@ -49,7 +49,7 @@
 	DefaultTimeout     = time.Second
 	DefaultSilence     = 2 * time.Second
 	DefaultReopenPause = 200 * time.Millisecond
-	maxReopenPause     = 5 * time.Second
+	maxReopenPause     = 1500 * time.Millisecond
 )
 
 // Config configures a Client.
@@ -67,7 +67,7 @@
 	// longer than the service's heartbeat.
 	Silence time.Duration
 	// ReopenPause is the first pause before a watch is reopened after a
-	// failure; it doubles up to 5 s. 0 means DefaultReopenPause.
+	// failure; it doubles up to 1.5 s. 0 means DefaultReopenPause.
 	ReopenPause time.Duration
 }
 
--- a/internal/vm/dfpnode/dfpnode_connections.go
+++ b/internal/vm/dfpnode/dfpnode_connections.go
@@ -5,6 +5,7 @@
 	"errors"
 	"expvar"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -193,6 +194,10 @@
 	log    log.Interface
 }
 
+// LibraryLog takes lines of net/http's clients, which have no logger of their own: a process that runs one
+// node makes it the standard logger's output.
+func (n *Node) LibraryLog() io.Writer { return &n.serverLog }
+
 // Write takes one line.
 func (l *serverLog) Write(line []byte) (int, error) {
 	l.errors.Add(1)
--- a/internal/vm/dfpnode/dfpnode_quota.go
+++ b/internal/vm/dfpnode/dfpnode_quota.go
@@ -102,7 +102,7 @@
 		case <-l.n.life.Done():
 			return nil
 		case <-ticker.C:
-			fleet := l.n.roster.fleet()
+			fleet := l.n.roster.fleet(dfpclock.Now())
 			l.do(func(now time.Time, k *dfpquota.Keeper) []dfpquota.Send {
 				return append(k.SetFleet(now, fleet), k.Tick(now)...)
 			})
@@ -180,15 +180,28 @@
 	return l.keeper.State(dfpclock.Now())
 }
 
+// settleTime is how long after another VM was first known the list of VMs counts as known without the
+// platform's: two comparisons of lists between nodes.
+const settleTime = 2 * time.Second
+
 // fleet returns the number of nodes that may take callers' requests, and the one to which the
 // nodes report: of those that can be reached, the first by address, so that all that see the same
-// fleet report to the same node.
-func (l *rosterLoop) fleet() dfpquota.Fleet {
+// fleet report to the same node. It is zero until the list of VMs is known: a node that has just started
+// and counts only itself would take the fleet's part for its own. A VM whose address refuses
+// connections counts until its lease has lapsed, since a partition may look like that.
+func (l *rosterLoop) fleet(now time.Time) dfpquota.Fleet {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var fleet dfpquota.Fleet
-	for _, m := range l.roster.Members() {
-		if m.VM.Left || m.State == dfproster.StateDead {
+	members := l.roster.Members()
+	if len(members) > 1 && l.metAt.IsZero() {
+		l.metAt = now
+	}
+	if !l.listed.Load() && (l.metAt.IsZero() || now.Sub(l.metAt) < settleTime) {
+		return fleet
+	}
+	for _, m := range members {
+		if m.VM.Left || m.State == dfproster.StateDead && m.Lapsed {
 			continue
 		}
 		fleet.Nodes++
--- a/internal/zone/dfpquota/allotter.go
+++ b/internal/zone/dfpquota/allotter.go
@@ -151,7 +151,7 @@
 
 // count notes whether a majority of the fleet is reporting here, and since when.
 func (a *allotter) count(now time.Time, nodes int) {
-	if 2*len(a.reporters) <= nodes {
+	if nodes == 0 || 2*len(a.reporters) <= nodes {
 		a.hasMajority = false
 		return
 	}
--- a/internal/zone/dfpquota/dfpquota.go
+++ b/internal/zone/dfpquota/dfpquota.go
@@ -102,7 +102,7 @@
 // Fleet is what a node knows of the others.
 type Fleet struct {
 	// Nodes is the number of nodes that may take callers' requests, this one included, also
-	// those that cannot be reached at present.
+	// those that cannot be reached at present; 0 while it is not known, when the node has no part.
 	Nodes int
 	// Allotter is the address of the node to report to.
 	Allotter string
--- a/internal/zone/dfpquota/dfpquota_test.go
+++ b/internal/zone/dfpquota/dfpquota_test.go
@@ -300,6 +300,23 @@
 	}
 }
 
+// TestNodeThatKnowsNoFleetHasNoPart starts a fleet of nodes that have rules before they know of each other, as when all have
+// lost power: each must not take the whole fleet's part for its own.
+func TestNodeThatKnowsNoFleetHasNoPart(t *testing.T) {
+	k := dfpquota.New(epoch, config)
+	k.SetRules(epoch, []dfpquota.Organisation{{Name: buyer, Rate: 100, Burst: 100}})
+	ran := 0
+	for now := epoch; now.Sub(epoch) < 2*time.Second; now = now.Add(step) {
+		k.SetFleet(now, dfpquota.Fleet{})
+		verdict, _ := k.Take(now, buyer, false)
+		if _, ok := verdict.(*dfpquota.Granted); ok {
+			ran++
+		}
+		k.Tick(now)
+	}
+	assert.Equal(t, ran, 0)
+}
+
 func TestNewProcessStartsEmpty(t *testing.T) {
 	k := dfpquota.New(epoch, config)
 	k.SetRules(epoch, []dfpquota.Organisation{{Name: buyer, Rate: 100, Burst: 100}})
--- a/internal/zone/dfpquota/keeper.go
+++ b/internal/zone/dfpquota/keeper.go
@@ -46,7 +46,7 @@
 // New returns the keeper of a node that has just started.
 func New(now time.Time, cfg Config) *Keeper {
 	return &Keeper{
-		cfg: cfg, fleet: Fleet{Nodes: 1}, buckets: map[string]*bucket{},
+		cfg: cfg, buckets: map[string]*bucket{},
 		sent: map[uint64]time.Time{}, nextReport: now, allotter: newAllotter(),
 	}
 }
@@ -72,7 +72,6 @@
 // SetFleet tells the keeper of the fleet. To report to another node means to drop what the
 // one before has allotted. If that was this node, it hands its reserves over.
 func (k *Keeper) SetFleet(now time.Time, fleet Fleet) []Send {
-	fleet.Nodes = max(fleet.Nodes, 1)
 	if fleet == k.fleet {
 		return nil
 	}
@@ -166,6 +165,9 @@
 
 // floor is this node's even part of a rate.
 func (k *Keeper) floor(o Organisation) float64 {
+	if k.fleet.Nodes == 0 {
+		return 0
+	}
 	return FloorPart * k.cfg.sustained(o) / float64(k.fleet.Nodes)
 }
 
