--- a/internal/zone/dfpquota/allotter.go
+++ b/internal/zone/dfpquota/allotter.go
@@ -24,6 +24,8 @@
 type reporter struct {
 	heard   time.Time
 	demands map[string]float64
+	// held is the nonce of the last allotment that the node has had; 0 if it never had one.
+	held uint64
 	// given holds the allotments that may still be in use, the newest last.
 	given []given
 }
@@ -46,7 +48,7 @@
 		r = &reporter{}
 		a.reporters[from] = r
 	}
-	r.heard = now
+	r.heard, r.held = now, m.Held
 	r.demands = make(map[string]float64, len(m.Demands))
 	for _, d := range m.Demands {
 		r.demands[d.Organisation] = max(0, d.PerSecond)
@@ -162,6 +164,20 @@
 			a.reserves = map[string]*reserve{}
 		}
 	}
+	if !a.established(now) && len(a.reporters) == nodes && a.nothingHeld() {
+		a.majoritySince = now.Add(-AllotmentLife)
+	}
+}
+
+// nothingHeld reports whether none of the reporting processes has ever had an allotment. If they are the
+// whole fleet, as after all have lost power, nothing that an earlier allotter gave can be in use.
+func (a *allotter) nothingHeld() bool {
+	for _, r := range a.reporters {
+		if r.held != 0 {
+			return false
+		}
+	}
+	return true
 }
 
 // share returns what a node may use of an organisation's limit, in requests a second. The nodes' demands are met first, with headroom and
--- a/internal/zone/dfpquota/dfpquota.go
+++ b/internal/zone/dfpquota/dfpquota.go
@@ -15,7 +15,8 @@
 //   - a report binds its sender to one allotter: a node that reports to another one first drops
 //     what it holds, so that of two allotters at most one is heard by a majority of the fleet;
 //   - an allotter gives nothing until it has been heard by a majority for AllotmentLife, after
-//     which whatever an earlier one gave has lapsed;
+//     which whatever an earlier one gave has lapsed, or by the whole fleet if none of it has ever had
+//     an allotment;
 //   - an allotter that finds another one in its place, because it leaves or because a node with a
 //     lower address has come, hands its reserves over and gives nothing from then on. The next one
 //     goes on with them for inheritLife, by when a majority must have found it.
--- a/internal/zone/dfpquota/dfpquota_test.go
+++ b/internal/zone/dfpquota/dfpquota_test.go
@@ -250,6 +250,38 @@
 	assert.Assert(t, w.worst() <= allowed(o))
 }
 
+// TestFleetThatLostAllPower sends four fifths of the rate while all nodes start anew at once: they must not be on
+// their floors for long.
+func TestFleetThatLostAllPower(t *testing.T) {
+	o := dfpquota.Organisation{Name: buyer, Rate: 100, Burst: 100}
+	const nodes = 12
+	w := newWorld(nodes, o)
+	rnd := rand.New(rand.NewPCG(3, 3))
+	asked, ran := 0, 0
+	due := 0.0
+	for w.now.Sub(epoch) < 18*time.Second {
+		switch w.now.Sub(epoch) {
+		case 15 * time.Second:
+			for i := range nodes {
+				w.start(name(i), nodes, o)
+			}
+			w.wire, w.waiting = nil, nil
+		case 15500 * time.Millisecond:
+			asked, ran = w.asked, len(w.runs)
+		}
+		w.advance()
+		if w.now.Sub(epoch) < 8*time.Second {
+			continue
+		}
+		for due += step.Seconds() * 0.8 * (o.Rate + o.Burst/config.Window.Seconds()) * 2 * rnd.Float64(); due >= 1; due-- {
+			w.ask(name(rnd.IntN(nodes)))
+		}
+	}
+	refused := 1 - float64(len(w.runs)-ran)/float64(w.asked-asked)
+	assert.Assert(t, refused < 0.1, "%.3f of %d refused", refused, w.asked-asked)
+	assert.Assert(t, w.worst() <= allowed(o))
+}
+
 // TestFewAreRefusedWithinRate sends nine tenths of the rate in clumps to nodes at random.
 func TestFewAreRefusedWithinRate(t *testing.T) {
 	for _, tc := range []struct {
--- a/internal/zone/dfpquota/keeper.go
+++ b/internal/zone/dfpquota/keeper.go
@@ -21,6 +21,9 @@
 	heldUntil time.Time
 	// askUntil is until when the allotter is asked for tokens without another word of it.
 	askUntil time.Time
+	// spotUntil is until when the node has no floor, since its allotter gives from its reserves, which leave
+	// no room for floors.
+	spotUntil time.Time
 
 	allotter allotter
 }
@@ -179,6 +182,8 @@
 		return b.allotted
 	case now.Before(k.heldUntil.Add(AllotmentLife)):
 		return min(b.allotted, floor)
+	case now.Before(k.spotUntil):
+		return 0
 	default:
 		return floor
 	}
@@ -318,7 +323,7 @@
 			k.refill(now, b)
 			b.tokens += m.Spot.PerSecond
 			if m.Spot.PerSecond > 0 {
-				k.askUntil = now.Add(AllotmentLife)
+				k.askUntil, k.spotUntil = now.Add(AllotmentLife), now.Add(AllotmentLife)
 			}
 			if m.Spot.PerSecond < m.Asked {
 				b.deniedUntil = now.Add(deniedTime)
