--- a/internal/vm/dfpevent/dfpevent.go
+++ b/internal/vm/dfpevent/dfpevent.go
@@ -86,7 +86,8 @@
 	Tokens float64 `json:"tokens"`
 	// Allotter is the VM that divides the rates.
 	Allotter string `json:"allotter"`
-	// HeldMs is how long the node's allotment still holds, in milliseconds; negative once it has lapsed.
+	// HeldMs is how long the node's allotment still holds, in milliseconds; negative once it has lapsed, and
+	// -1 if there was none.
 	HeldMs int64 `json:"held_ms"`
 }
 
--- a/internal/vm/dfpnode/dfpnode.go
+++ b/internal/vm/dfpnode/dfpnode.go
@@ -262,7 +262,7 @@
 	route := cfg.Route
 	route.Changed = n.noteAside
 	n.router = dfproute.New(route)
-	n.callers = dfpcaller.New(dfpcaller.Config{Admit: n.admitCaller, Serve: n.serveCaller, KeepKeys: cfg.KeepKeys})
+	n.callers = dfpcaller.New(dfpcaller.Config{Admit: n.AdmitCaller, Serve: n.ServeCaller, KeepKeys: cfg.KeepKeys})
 	n.guard.init(n)
 	n.rates = newRates(n) // Before the roster, which tells it of peers.
 	n.repeats = newFleetRepeats(cfg.Repeats)
--- a/internal/vm/dfpnode/dfpnode_entry.go
+++ b/internal/vm/dfpnode/dfpnode_entry.go
@@ -48,38 +48,28 @@
 	return leave
 }
 
-// AdmitCaller takes a place for a caller's request whose body has not been read. It returns what
-// frees the place, or a refusal.
+// AdmitCaller takes a place for a caller's request before its body is read, so that
+// an organisation's slow or large bodies count against its share of the places. It returns what frees
+// the place, or a refusal.
 func (n *Node) AdmitCaller(in *dfpcaller.Incoming) (leave func(), refusal dfpcall.Outcome) {
-	return n.admitCaller(in)
-}
-
-// ServeCaller runs a caller's request that has a place.
-func (n *Node) ServeCaller(ctx context.Context, in *dfpcaller.Incoming) dfpcall.Outcome {
-	return n.serveCaller(ctx, in)
-}
-
-// admitCaller takes a place for a caller's request before its body is read, so that
-// an organisation's slow or large bodies count against its share of the places.
-func (n *Node) admitCaller(in *dfpcaller.Incoming) (func(), dfpcall.Outcome) {
-	t, refusal := n.targetOf(in)
-	if refusal == nil {
+	t, notRun := n.targetOf(in)
+	if notRun == nil {
 		if service, ok := t.rules.Service(t.route.Service); ok {
 			in.MaxBody = min(service.MaxBody, dfppeer.MaxFrame)
 		}
 		if leave := n.entry.enter(t.organisation, callersShare(t.rules, t.organisation)); leave != nil {
 			return leave, nil
 		}
-		refusal = &dfpcall.NotRun{Reason: dfpcall.ReasonEntryFull, RetryAfter: fullRetryAfter}
+		notRun = &dfpcall.NotRun{Reason: dfpcall.ReasonEntryFull, RetryAfter: fullRetryAfter}
 	}
 	n.metrics.callers.Add(1)
-	n.metrics.countOutcome(refusal)
-	return nil, refusal
+	n.metrics.countOutcome(notRun)
+	return nil, notRun
 }
 
-// serveCaller runs a caller's request. Each way out before dispatch is a truthful
+// ServeCaller runs a caller's request that has a place. Each way out before dispatch is a truthful
 // NotRun.
-func (n *Node) serveCaller(ctx context.Context, in *dfpcaller.Incoming) dfpcall.Outcome {
+func (n *Node) ServeCaller(ctx context.Context, in *dfpcaller.Incoming) dfpcall.Outcome {
 	n.metrics.callers.Add(1)
 	started := time.Now()
 	var served dfpcall.Request
--- a/internal/vm/dfpnode/dfpnode_quota.go
+++ b/internal/vm/dfpnode/dfpnode_quota.go
@@ -134,10 +134,13 @@
 		return nil
 	}
 	standing := l.keeper.Standing()
-	return &dfpevent.RateInputs{
-		PerSecond: state.PerSecond, Demand: state.Demand, Tokens: state.Tokens, Allotter: standing.Allotter,
-		HeldMs: standing.HeldUntil.Sub(now).Milliseconds(),
+	inputs := &dfpevent.RateInputs{
+		PerSecond: state.PerSecond, Demand: state.Demand, Tokens: state.Tokens, Allotter: standing.Allotter, HeldMs: -1,
 	}
+	if !standing.HeldUntil.IsZero() {
+		inputs.HeldMs = standing.HeldUntil.Sub(now).Milliseconds()
+	}
+	return inputs
 }
 
 func (l *quotaLoop) setRules(_ uint64, rules *dfprules.Ruleset) {
