--- a/internal/contract/dfpconfig/dfpconfig_test.go
+++ b/internal/contract/dfpconfig/dfpconfig_test.go
@@ -160,6 +160,48 @@
 	return tooLong
 }
 
+// TestReadersTurnedAway lets the platform turn the reader of each zone away at the moment of a change: the
+// others must not wait for them for longer than a change may take.
+func TestReadersTurnedAway(t *testing.T) {
+	const bound = 2500 * time.Millisecond
+	for _, tc := range []struct {
+		name          string
+		lonePollAfter time.Duration
+		isLate        bool
+	}{
+		{"by default", 0, true},
+		{"700 ms before the bound", bound - 700*time.Millisecond, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			worst := time.Duration(0)
+			for seed := range uint64(20) {
+				w := newWorld(seed, 4, 4, "")
+				w.config = dfpconfig.Config{Watchers: 1, LonePollAfter: tc.lonePollAfter}
+				for _, n := range w.nodes {
+					w.start(n)
+				}
+				w.apply("first", rules(1), 0)
+				w.run(6*time.Second + time.Duration(seed)*150*time.Millisecond)
+				w.watchSilent = true
+				for _, n := range w.nodes {
+					n.platformCut = n.state.IsWatcher()
+				}
+				w.apply("second", rules(2), 1)
+				for len(w.heads) < 2 {
+					w.run(tick)
+				}
+				accepted := w.now
+				for w.behind(2) > 0 && w.now.Sub(accepted) < 2*bound {
+					w.run(tick)
+				}
+				w.mustHold(t)
+				worst = max(worst, w.now.Sub(accepted))
+			}
+			assert.Equal(t, worst > bound, tc.isLate, "worst %v", worst)
+		})
+	}
+}
+
 // TestOutage checks that new nodes start from peers, that knowledge grows stale, and
 // that the platform's load in an outage and at its end stays bounded.
 func TestOutage(t *testing.T) {
--- a/internal/contract/dfpconfig/fake_test.go
+++ b/internal/contract/dfpconfig/fake_test.go
@@ -44,6 +44,8 @@
 	loss, stale float64
 	watchSilent bool
 
+	// config is the nodes', but for what tells them apart.
+	config    dfpconfig.Config
 	nodes     []*node
 	byAddress map[string]*node
 	zonesCut  map[[2]string]bool
@@ -87,7 +89,9 @@
 
 // start gives a node a new state, as a new VM of its address would have.
 func (w *world) start(n *node) {
-	n.state = dfpconfig.New(dfpconfig.Config{Self: n.vm.Address, Zone: n.vm.Zone})
+	cfg := w.config
+	cfg.Self, cfg.Zone = n.vm.Address, n.vm.Zone
+	n.state = dfpconfig.New(cfg)
 	n.state.SwitchOff(w.off)
 	n.highest, n.dead = 0, false
 	var vms []dfpvm.VM
--- a/internal/vm/dfpnode/dfpnode.go
+++ b/internal/vm/dfpnode/dfpnode.go
@@ -103,6 +103,9 @@
 	// StaleAfter is the time without news of the rules after which routes with
 	// when_stale=refuse refuse.
 	StaleAfter time.Duration
+	// ReadAfter is the age of the rules from which on a node reads them from the platform by itself, though
+	// others of its zone read for it; 0 takes dfpconfig's default.
+	ReadAfter time.Duration
 	// GuardMode and Route select less of the policy, for baselines of measurements.
 	GuardMode dfpguard.Mode
 	Route     dfproute.Config
--- a/internal/zone/dfpquota/dfpquota_test.go
+++ b/internal/zone/dfpquota/dfpquota_test.go
@@ -282,6 +282,33 @@
 	assert.Assert(t, w.worst() <= allowed(o))
 }
 
+// TestFloodIsServedEvenly floods a fleet for long: after the first window no second has much more than its part, so
+// that a loss of all power at any moment leaves a window within the rate.
+func TestFloodIsServedEvenly(t *testing.T) {
+	o := dfpquota.Organisation{Name: buyer, Rate: 150, Burst: 150}
+	const nodes = 12
+	w := newWorld(nodes, o)
+	rnd := rand.New(rand.NewPCG(9, 9))
+	for w.now.Sub(epoch) < 30*time.Second {
+		w.advance()
+		if w.now.Sub(epoch) < 8*time.Second {
+			continue
+		}
+		for range 1 + int(6*o.Rate*step.Seconds()) {
+			w.ask(name(rnd.IntN(nodes)))
+		}
+	}
+	even := o.Rate + o.Burst/config.Window.Seconds()
+	perSecond := map[int]int{}
+	for _, at := range w.runs {
+		perSecond[int(at.Sub(epoch)/time.Second)]++
+	}
+	for second := 14; second < 30; second++ {
+		assert.Assert(t, float64(perSecond[second]) < 1.5*even, "%d ran in second %d, evenly %.0f", perSecond[second], second, even)
+	}
+	assert.Assert(t, w.worst() <= allowed(o))
+}
+
 // TestFewAreRefusedWithinRate sends nine tenths of the rate in clumps to nodes at random.
 func TestFewAreRefusedWithinRate(t *testing.T) {
 	for _, tc := range []struct {
--- a/internal/zone/dfpquota/reserve.go
+++ b/internal/zone/dfpquota/reserve.go
@@ -15,8 +15,15 @@
 type reserve struct {
 	slices [reserveSlices + 1]float64
 	slice  int64
+	// shortAt is when it last gave less than was wanted.
+	shortAt time.Time
 }
 
+// evenness is how many times the even part of a slice may be given while the reserve runs short. Otherwise a
+// flood would have a whole window's number at once, window after window, and a fleet that has lost
+// its memory could not take the window before as spent evenly.
+const evenness = 1.25
+
 // newReserve returns a reserve that counts the window before now as spent evenly: another allotter
 // may have given it.
 func newReserve(now time.Time, window time.Duration, number float64) *reserve {
@@ -38,7 +45,14 @@
 	for _, n := range r.slices {
 		spent += n
 	}
-	taken := math.Floor(max(0, min(wanted, number-spent)))
+	left := number - spent
+	if now.Sub(r.shortAt) < window {
+		left = min(left, evenness*number/reserveSlices-r.slices[r.index()])
+	}
+	taken := math.Floor(max(0, min(wanted, left)))
+	if taken < math.Floor(wanted) {
+		r.shortAt = now
+	}
 	r.slices[r.index()] += taken
 	return taken
 }
