--- a/internal/contract/dfprules/build.go
+++ b/internal/contract/dfprules/build.go
@@ -23,26 +23,10 @@
 // file. The error wraps ErrBuild and names every fault; then there is no Ruleset.
 func Build(src Source) (*Ruleset, error) {
 	b := builder{set: newRuleset(), seen: map[string]bool{}}
-	for _, z := range src.Zones {
-		b.add(z)
-		b.set.Zones = append(b.set.Zones, z)
-		b.set.zones[z.Name] = z
-	}
-	for _, o := range src.Organisations {
-		b.add(o)
-		b.set.Organisations = append(b.set.Organisations, o)
-		b.set.organisations[o.Name] = o
-	}
-	for _, k := range src.Keys {
-		b.add(k)
-		b.set.Keys = append(b.set.Keys, k)
-		b.set.keys[k.Digest] = k
-	}
-	for _, s := range src.Services {
-		b.add(s)
-		b.set.Services = append(b.set.Services, s)
-		b.set.services[s.Name] = s
-	}
+	addAll(&b, src.Zones)
+	addAll(&b, src.Organisations)
+	addAll(&b, src.Keys)
+	addAll(&b, src.Services)
 	for _, r := range src.Routes {
 		b.route(r)
 	}
@@ -63,12 +47,18 @@
 	b.faults = append(b.faults, fmt.Errorf(format, args...))
 }
 
+func addAll[R Rule](b *builder, rules []R) {
+	for _, rule := range rules {
+		b.add(rule)
+	}
+}
+
 func (b *builder) add(rule Rule) {
 	if b.seen[rule.ID()] {
 		b.fault("%s is given twice", rule.ID())
 	}
 	b.seen[rule.ID()] = true
-	b.set.rules = append(b.set.rules, rule)
+	b.set.add(rule)
 }
 
 func (b *builder) route(r *Route) {
@@ -93,7 +83,6 @@
 	if weight <= 0 {
 		b.fault("%s: no service has a weight above 0", r.ID())
 	}
-	b.set.Routes = append(b.set.Routes, r)
 	if b.set.hosts == nil {
 		b.set.hosts = map[string]map[string]*Route{}
 	}
--- a/internal/contract/dfprules/line.go
+++ b/internal/contract/dfprules/line.go
@@ -98,10 +98,7 @@
 	if o, found := l.option("share"); found {
 		z.Share = l.number64(o, o.value, "a number above 0, such as share=1", maxShare)
 	}
-	if l.finish(z, z.Name != "", args, "region, share") {
-		l.parser.set.Zones = append(l.parser.set.Zones, z)
-		l.parser.set.zones[z.Name] = z
-	}
+	l.finish(z, z.Name != "", args, "region, share")
 }
 
 func (l *line) organisation() {
@@ -119,10 +116,7 @@
 	if o, found := l.option("callers"); found {
 		v.CallersShare = l.percent(o)
 	}
-	if l.finish(v, v.Name != "", args, "rate, burst, callers") {
-		l.parser.set.Organisations = append(l.parser.set.Organisations, v)
-		l.parser.set.organisations[v.Name] = v
-	}
+	l.finish(v, v.Name != "", args, "rate, burst, callers")
 }
 
 func (l *line) key() {
@@ -137,10 +131,7 @@
 		k.Digest = digest
 		l.refer("organisation", args[0], k.Organisation)
 	}
-	if l.finish(k, k.Digest != dfpkey.Digest{}, args, "") {
-		l.parser.set.Keys = append(l.parser.set.Keys, k)
-		l.parser.set.keys[k.Digest] = k
-	}
+	l.finish(k, k.Digest != dfpkey.Digest{}, args, "")
 }
 
 func (l *line) service() {
@@ -162,10 +153,7 @@
 	if o, found := l.option("max_body"); found {
 		v.MaxBody = l.size(o)
 	}
-	if l.finish(v, v.Name != "", args, "slots, connections, retries, max_body") {
-		l.parser.set.Services = append(l.parser.set.Services, v)
-		l.parser.set.services[v.Name] = v
-	}
+	l.finish(v, v.Name != "", args, "slots, connections, retries, max_body")
 }
 
 func (l *line) route() {
@@ -189,7 +177,6 @@
 	l.routeOptions(v)
 	const options = "service, importance, idempotent, open, deadline, when_stale"
 	if l.finish(v, v.Method != "" && v.Pattern != "", args, options) {
-		l.parser.set.Routes = append(l.parser.set.Routes, v)
 		l.parser.patterns = append(l.parser.patterns, args[1])
 	}
 }
@@ -220,10 +207,7 @@
 		}
 		d.Address = address
 	}
-	if l.finish(d, d.Address.IsValid(), args, "") {
-		l.parser.set.Drains = append(l.parser.set.Drains, d)
-		l.parser.set.drains[d.Address.String()] = true
-	}
+	l.finish(d, d.Address.IsValid(), args, "")
 }
 
 // arguments returns the words that are no options, if there are as many as the
@@ -288,7 +272,7 @@
 		p.seen[id] = l.number
 	}
 	if !l.failed {
-		p.set.rules = append(p.set.rules, r)
+		p.set.add(r)
 	}
 	return !l.failed
 }
--- a/internal/contract/dfprules/parse.go
+++ b/internal/contract/dfprules/parse.go
@@ -48,6 +48,32 @@
 	}
 }
 
+// add adds a rule to the lists and indexes of its kind.
+func (s *Ruleset) add(rule Rule) {
+	s.rules = append(s.rules, rule)
+	switch r := rule.(type) {
+	case *Zone:
+		s.Zones = append(s.Zones, r)
+		s.zones[r.Name] = r
+	case *Organisation:
+		s.Organisations = append(s.Organisations, r)
+		s.organisations[r.Name] = r
+	case *Key:
+		s.Keys = append(s.Keys, r)
+		s.keys[r.Digest] = r
+	case *Service:
+		s.Services = append(s.Services, r)
+		s.services[r.Name] = r
+	case *Route:
+		s.Routes = append(s.Routes, r)
+	case *Drain:
+		s.Drains = append(s.Drains, r)
+		s.drains[r.Address.String()] = true
+	default:
+		panic(fmt.Sprintf("dfprules: unknown kind of rule %T", rule))
+	}
+}
+
 type parser struct {
 	name   string
 	faults ErrorList
