--- a/internal/contract/dfpcall/dfpcall.go
+++ b/internal/contract/dfpcall/dfpcall.go
@@ -20,6 +20,7 @@
 package dfpcall
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"time"
@@ -206,6 +207,14 @@
 // and header, in snake case.
 type Reason string
 
+// EndReason is the reason of a call whose context has ended: at its deadline, or since its caller gave up.
+func EndReason(ctx context.Context) Reason {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return ReasonDeadline
+	}
+	return ReasonCancelled
+}
+
 // The reasons of NotRun and Unknown.
 const (
 	ReasonNoKey            Reason = "no_key"
--- a/internal/link/dfpbackend/dfpbackend.go
+++ b/internal/link/dfpbackend/dfpbackend.go
@@ -18,7 +18,6 @@
 import (
 	"bytes"
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -128,12 +127,12 @@
 	}
 	resp, err := c.transport.RoundTrip(out)
 	if err != nil {
-		return c.failed(ctx, sent.Load(), req)
+		return Failure(ctx, dfpcall.ReasonBackendFailed, sent.Load(), req)
 	}
 	defer resp.Body.Close()
 	body, err := readAll(resp, c.cfg.MaxAnswer)
 	if err != nil {
-		return c.failed(ctx, true, req)
+		return Failure(ctx, dfpcall.ReasonBackendFailed, true, req)
 	}
 	header := resp.Header
 	RemoveHopHeaders(header)
@@ -154,13 +153,11 @@
 	return time.Duration(seconds) * time.Second
 }
 
-func (c *Client) failed(ctx context.Context, sent bool, req *dfpcall.Request) dfpcall.Outcome {
-	reason := dfpcall.ReasonBackendFailed
-	switch {
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		reason = dfpcall.ReasonDeadline
-	case ctx.Err() != nil:
-		reason = dfpcall.ReasonCancelled
+// Failure is the outcome of a request that got no whole answer. Sent says that the backend server may have
+// run it. The reason is the context's if that has ended.
+func Failure(ctx context.Context, reason dfpcall.Reason, sent bool, req *dfpcall.Request) dfpcall.Outcome {
+	if ctx.Err() != nil {
+		reason = dfpcall.EndReason(ctx)
 	}
 	if sent {
 		return &dfpcall.Unknown{Reason: reason, Budget: req.Budget}
--- a/internal/link/dfppeer/mesh.go
+++ b/internal/link/dfppeer/mesh.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/http"
 	"sort"
@@ -228,11 +227,3 @@
 func unknown(req *dfpcall.Request, reason dfpcall.Reason) dfpcall.Outcome {
 	return &dfpcall.Unknown{Reason: reason, Budget: req.Budget}
 }
-
-// endReason is the reason of a request whose context has ended.
-func endReason(ctx context.Context) dfpcall.Reason {
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		return dfpcall.ReasonDeadline
-	}
-	return dfpcall.ReasonCancelled
-}
--- a/internal/link/dfppeer/run.go
+++ b/internal/link/dfppeer/run.go
@@ -31,7 +31,7 @@
 	c, err := p.conn(ctx)
 	if ctx.Err() != nil {
 		release(buf)
-		return notRun(req, endReason(ctx))
+		return notRun(req, dfpcall.EndReason(ctx))
 	}
 	if err != nil {
 		release(buf)
@@ -75,7 +75,7 @@
 // giveUp ends a request whose context has ended.
 func (p *peer) giveUp(ctx context.Context, w *pending) dfpcall.Outcome {
 	if w.drop() {
-		p.finish(w.req.ID, notRun(w.req, endReason(ctx)))
+		p.finish(w.req.ID, notRun(w.req, dfpcall.EndReason(ctx)))
 		return <-w.done
 	}
 	p.mu.Lock()
@@ -88,7 +88,7 @@
 	case outcome := <-w.done:
 		return outcome
 	case <-timer.C:
-		p.finishUnknown(w, endReason(ctx))
+		p.finishUnknown(w, dfpcall.EndReason(ctx))
 		return <-w.done
 	}
 }
--- a/internal/vm/dfpnode/dfpnode_guard.go
+++ b/internal/vm/dfpnode/dfpnode_guard.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"sync"
 	"time"
@@ -303,18 +302,10 @@
 		return handle, backend, nil
 	case <-ctx.Done():
 		g.withdraw(handle, verdictOf)
-		return 0, Announcement{}, refuse(reasonOf(ctx), 0)
+		return 0, Announcement{}, refuse(dfpcall.EndReason(ctx), 0)
 	}
 }
 
-// reasonOf says why a context ended.
-func reasonOf(ctx context.Context) dfpcall.Reason {
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		return dfpcall.ReasonDeadline
-	}
-	return dfpcall.ReasonCancelled
-}
-
 // withdraw takes back a request that waits, or whose verdict came at the same moment.
 func (g *guardGate) withdraw(handle dfpguard.Handle, verdictOf waiter) {
 	g.mu.Lock()
--- a/internal/vm/dfpnode/dfpnode_once.go
+++ b/internal/vm/dfpnode/dfpnode_once.go
@@ -181,7 +181,7 @@
 	case d := <-decided: // Decided before it was withdrawn.
 		return d, nil
 	default:
-		return dfponce.Decision{}, &dfpcall.NotRun{Reason: reasonOf(ctx)}
+		return dfponce.Decision{}, &dfpcall.NotRun{Reason: dfpcall.EndReason(ctx)}
 	}
 }
 
--- a/internal/vm/dfpnode/dfpnode_quota.go
+++ b/internal/vm/dfpnode/dfpnode_quota.go
@@ -68,7 +68,7 @@
 			return nil, refusedByRate(dfpquota.AskLife)
 		}
 		if !waitFor(ctx, news, dfpquota.AskLife) {
-			return nil, &dfpcall.NotRun{Reason: reasonOf(ctx)}
+			return nil, &dfpcall.NotRun{Reason: dfpcall.EndReason(ctx)}
 		}
 	}
 }
