Who counts in the fleet, and who is first, is decided by the roster

It was decided in the node's loop, under its lock, and had no test: TestCount now holds that VMs that cannot be reached are passed over, that those that refuse connections count until their lease lapses, and that nothing is known at first.

--- a/internal/vm/dfpnode/dfpnode_quota.go
+++ b/internal/vm/dfpnode/dfpnode_quota.go
@@ -12,7 +12,6 @@
 	"dragonflyport/internal/vm/dfpevent"
 	"dragonflyport/internal/vm/dfpvm"
 	"dragonflyport/internal/zone/dfpquota"
-	"dragonflyport/internal/zone/dfproster"
 )
 
 // quotaLoop keeps this node's part in the organisations' rates by dfpquota.
@@ -102,7 +101,7 @@
 		case <-l.n.life.Done():
 			return nil
 		case <-ticker.C:
-			fleet := l.n.roster.fleet(dfpclock.Now())
+			fleet := l.n.roster.fleet(time.Now())
 			l.do(func(now time.Time, k *dfpquota.Keeper) []dfpquota.Send {
 				return append(k.SetFleet(now, fleet), k.Tick(now)...)
 			})
@@ -183,34 +182,10 @@
 	return l.keeper.State(dfpclock.Now())
 }
 
-// settleTime is how long after another VM was first known the list of VMs counts as known without the
-// platform's: two comparisons of lists between nodes.
-const settleTime = 2 * time.Second
-
-// fleet returns the number of nodes that may take callers' requests, and the one to which the
-// nodes report: of those that can be reached, the first by address, so that all that see the same
-// fleet report to the same node. It is zero until the list of VMs is known: a node that has just started
-// and counts only itself would take the fleet's part for its own. A VM whose address refuses
-// connections counts until its lease has lapsed, since a partition may look like that.
+// fleet returns the fleet as the rates are divided in it: the nodes report to the first VM by address.
 func (l *rosterLoop) fleet(now time.Time) dfpquota.Fleet {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	var fleet dfpquota.Fleet
-	members := l.roster.Members()
-	if len(members) > 1 && l.metAt.IsZero() {
-		l.metAt = now
-	}
-	if !l.listed.Load() && (l.metAt.IsZero() || now.Sub(l.metAt) < settleTime) {
-		return fleet
-	}
-	for _, m := range members {
-		if m.VM.Left || m.State == dfproster.StateDead && m.Lapsed {
-			continue
-		}
-		fleet.Nodes++
-		if m.State == dfproster.StateUp && !m.Failing && !m.VM.Draining && fleet.Allotter == "" {
-			fleet.Allotter = m.VM.Address
-		}
-	}
-	return fleet
+	count := l.roster.Count(now)
+	return dfpquota.Fleet{Nodes: count.VMs, Allotter: count.First}
 }
--- a/internal/vm/dfpnode/dfpnode_roster.go
+++ b/internal/vm/dfpnode/dfpnode_roster.go
@@ -6,7 +6,6 @@
 	"math/rand/v2"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -37,9 +36,6 @@
 	mu     sync.Mutex
 	roster *dfproster.Roster
 	rnd    *rand.Rand
-	// listed says that the platform's whole list has come in, and metAt when another VM was first known.
-	listed atomic.Bool
-	metAt  time.Time
 	// noted is what the log says of other VMs, by address.
 	noted map[string]dfpevent.VM
 
@@ -303,7 +299,6 @@
 			vms = append(vms, l.decode(entry)...)
 		}
 		l.do(func(r *dfproster.Roster) dfproster.Effects { return r.Listed(now, vms) })
-		l.listed.Store(true)
 	case dfpplatform.Changed:
 		vms := l.decode(e.Entry)
 		l.do(func(r *dfproster.Roster) dfproster.Effects { return r.Learn(now, dfproster.SourcePlatform, vms) })
--- a/internal/zone/dfproster/dfproster.go
+++ b/internal/zone/dfproster/dfproster.go
@@ -129,8 +129,6 @@
 	State State    `json:"state"`
 	// Lapsed says that the VM's lease in the platform has lapsed.
 	Lapsed bool `json:"lapsed"`
-	// Failing says that it could not be reached since it was last heard.
-	Failing bool `json:"failing"`
 }
 
 // Send is a message for a peer.
--- a/internal/zone/dfproster/dfproster_test.go
+++ b/internal/zone/dfproster/dfproster_test.go
@@ -254,3 +254,49 @@
 	f.run(3 * time.Second)
 	assert.NilError(t, f.agreed())
 }
+
+// TestCount holds who counts in the fleet, and who is the first that all agree on.
+func TestCount(t *testing.T) {
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	draining, left := vm("b", 1, 7), vm("b", 1, 7)
+	draining.Draining, left.Left = true, true
+	for _, tc := range []struct {
+		name string
+		see  func(r *dfproster.Roster)
+		want dfproster.Count
+	}{
+		{"nothing known", func(*dfproster.Roster) {}, dfproster.Count{}},
+		{"listed, alone", func(r *dfproster.Roster) { r.Listed(at(0), nil) }, dfproster.Count{VMs: 1, First: "m"}},
+		{"listed", func(r *dfproster.Roster) { r.Listed(at(0), []dfpvm.VM{vm("b", 1, 7)}) }, dfproster.Count{VMs: 2, First: "b"}},
+		{"a peer known for long", func(r *dfproster.Roster) { r.Learn(at(3000), dfproster.SourcePeer, []dfpvm.VM{vm("b", 1, 7)}) }, dfproster.Count{VMs: 2, First: "b"}},
+		{"a peer known just now", func(r *dfproster.Roster) { r.Learn(at(3001), dfproster.SourcePeer, []dfpvm.VM{vm("b", 1, 7)}) }, dfproster.Count{}},
+		{"draining", func(r *dfproster.Roster) { r.Listed(at(0), []dfpvm.VM{draining}) }, dfproster.Count{VMs: 2, First: "m"}},
+		{"left", func(r *dfproster.Roster) { r.Listed(at(0), []dfpvm.VM{left}) }, dfproster.Count{VMs: 1, First: "m"}},
+		{"not reached once", func(r *dfproster.Roster) {
+			r.Listed(at(0), []dfpvm.VM{vm("b", 1, 7)})
+			r.Failed(at(100), "b", false)
+		}, dfproster.Count{VMs: 2, First: "m"}},
+		{"heard again", func(r *dfproster.Roster) {
+			r.Listed(at(0), []dfpvm.VM{vm("b", 1, 7)})
+			r.Failed(at(100), "b", false)
+			r.Heard(at(200), "b", 7)
+		}, dfproster.Count{VMs: 2, First: "b"}},
+		{"refuses connections", func(r *dfproster.Roster) {
+			r.Listed(at(0), []dfpvm.VM{vm("b", 1, 7)})
+			r.Failed(at(100), "b", true)
+			r.Failed(at(1200), "b", true)
+		}, dfproster.Count{VMs: 2, First: "m"}},
+		{"refuses, and its lease has lapsed", func(r *dfproster.Roster) {
+			r.Listed(at(0), []dfpvm.VM{vm("b", 1, 7)})
+			r.Lapsed(at(50), "b")
+			r.Failed(at(100), "b", true)
+			r.Failed(at(1200), "b", true)
+		}, dfproster.Count{VMs: 1, First: "m"}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r := dfproster.New(dfproster.Config{Self: vm("m", 1, 1)})
+			tc.see(r)
+			assert.DeepEqual(t, r.Count(at(5000)), tc.want)
+		})
+	}
+}
--- a/internal/zone/dfproster/roster.go
+++ b/internal/zone/dfproster/roster.go
@@ -33,6 +33,10 @@
 
 	members []dfpvm.VM
 	stale   bool
+
+	// listed says that the platform's whole list has come in, and metAt when another VM was first known.
+	listed bool
+	metAt  time.Time
 }
 
 // record is what is known of one address.
@@ -97,7 +101,7 @@
 	members := make([]Member, 0, len(r.addresses))
 	for _, address := range r.addresses {
 		rec := r.records[address]
-		members = append(members, Member{VM: rec.vm, State: rec.state, Lapsed: rec.lapsed, Failing: rec.failures > 0})
+		members = append(members, Member{VM: rec.vm, State: rec.state, Lapsed: rec.lapsed})
 	}
 	return members
 }
@@ -150,6 +154,9 @@
 			return Effects{}
 		}
 		r.insert(vm)
+		if r.metAt.IsZero() {
+			r.metAt = now
+		}
 		if vm.Left {
 			r.records[vm.Address].since = now
 		}
@@ -187,6 +194,7 @@
 // Listed takes in the platform's whole list: the leases of the VMs that are
 // not in it have lapsed.
 func (r *Roster) Listed(now time.Time, vms []dfpvm.VM) Effects {
+	r.listed = true
 	effects := r.Learn(now, SourcePlatform, vms)
 	present := make(map[string]bool, len(vms))
 	for _, vm := range vms {
