--- a/internal/operator/dfplog/explain.go
+++ b/internal/operator/dfplog/explain.go
@@ -39,28 +39,21 @@
 
 // decode reads the line's event, and reports whether it is one of a request with this id.
 func (l *logLine) decode(id string) bool {
-	var found string
+	var found *string
 	switch l.Fields.Event {
 	case new(dfpevent.Request).Name():
-		event := new(dfpevent.Request)
-		l.event = event
-		if json.Unmarshal(l.Fields.Detail, event) == nil {
-			found = event.ID
-		}
+		e := new(dfpevent.Request)
+		l.event, found = e, &e.ID
 	case new(dfpevent.Repeated).Name():
-		event := new(dfpevent.Repeated)
-		l.event = event
-		if json.Unmarshal(l.Fields.Detail, event) == nil {
-			found = event.ID
-		}
+		e := new(dfpevent.Repeated)
+		l.event, found = e, &e.ID
 	case new(dfpevent.Guard).Name():
-		event := new(dfpevent.Guard)
-		l.event = event
-		if json.Unmarshal(l.Fields.Detail, event) == nil {
-			found = event.ID
-		}
+		e := new(dfpevent.Guard)
+		l.event, found = e, &e.ID
+	default:
+		return false
 	}
-	return found == id
+	return json.Unmarshal(l.Fields.Detail, l.event) == nil && *found == id
 }
 
 // Explain writes, in the order of time, what the nodes' logs say of a request. The error wraps
--- a/internal/standin/dfpsoak/dfpsoak.go
+++ b/internal/standin/dfpsoak/dfpsoak.go
@@ -16,6 +16,7 @@
 package dfpsoak
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -27,6 +28,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"dragonflyport/internal/standin/dfpload"
 	"dragonflyport/internal/standin/dfpstore"
 )
 
@@ -83,7 +85,7 @@
 	Command(node Addresses, path string) (args, env []string)
 	// NewCall makes a caller's request, and Judge says how it ended.
 	NewCall(ctx context.Context, callers string, call Call) (*http.Request, error)
-	Judge(response *http.Response, body []byte, call Call) Verdict
+	Judge(response *http.Response, body []byte, call Call) dfpload.Verdict
 	// ReadRequest reads what a backend server is asked for, Answer answers it, and Refuse says that it was
 	// not run.
 	ReadRequest(r *http.Request) Run
@@ -144,26 +146,19 @@
 	Sent time.Time
 	// Ended and Verdict say how it ended.
 	Ended   time.Time
-	Verdict Verdict
+	Verdict dfpload.Verdict
 }
 
-// Verdict is how a call ended.
-type Verdict string
-
-// The verdicts.
+// The verdicts on a call: dfpload's and one more.
 const (
-	// Completed is the whole answer of a backend server to this call, Failed its own failure.
-	Completed Verdict = "completed"
-	Failed    Verdict = "failed"
-	// NotRun is the promise that the call has not run and never will.
-	NotRun Verdict = "not_run"
+	Completed = dfpload.VerdictCompleted
+	NotRun    = dfpload.VerdictNotRun
+	Unknown   = dfpload.VerdictUnknown
+	Failed    = dfpload.VerdictFailed
+	Lost      = dfpload.VerdictLost
+	Wrong     = dfpload.VerdictWrong
 	// Denied says that there is no such key or route, or that the request is not proper.
-	Denied Verdict = "denied"
-	// Unknown promises nothing; Lost is no answer at all.
-	Unknown Verdict = "unknown"
-	Lost    Verdict = "lost"
-	// Wrong is an answer to another call, or not whole though it looks so.
-	Wrong Verdict = "wrong"
+	Denied dfpload.Verdict = "denied"
 )
 
 // Run is one run on a backend server.
@@ -195,8 +190,8 @@
 	Nodes  int      `json:"nodes"`
 	Faults []string `json:"faults"`
 	// Ended counts calls by how they ended, and Runs what ran.
-	Ended map[Verdict]int `json:"ended"`
-	Runs  int             `json:"runs"`
+	Ended map[dfpload.Verdict]int `json:"ended"`
+	Runs  int                     `json:"runs"`
 	// Broken lists the broken promises; empty if all held.
 	Broken []string `json:"broken"`
 }
@@ -211,12 +206,8 @@
 
 // Play plays one seed. An error means that the run itself failed.
 func Play(ctx context.Context, cfg Config) (*Report, error) {
-	if cfg.Nodes == 0 {
-		cfg.Nodes = DefaultNodes
-	}
-	if cfg.Duration == 0 {
-		cfg.Duration = DefaultDuration
-	}
+	cfg.Nodes = cmp.Or(cfg.Nodes, DefaultNodes)
+	cfg.Duration = cmp.Or(cfg.Duration, DefaultDuration)
 	if cfg.Progress == nil {
 		cfg.Progress = io.Discard
 	}
@@ -280,7 +271,7 @@
 		s.evidence.Runs = append(s.evidence.Runs, n.backend.runs()...)
 	}
 	r := &Report{
-		Seed: s.cfg.Seed, Nodes: s.cfg.Nodes, Faults: s.faults, Ended: map[Verdict]int{}, Runs: len(s.evidence.Runs),
+		Seed: s.cfg.Seed, Nodes: s.cfg.Nodes, Faults: s.faults, Ended: map[dfpload.Verdict]int{}, Runs: len(s.evidence.Runs),
 		Broken: append([]string{}, Judge(s.evidence)...),
 	}
 	for _, c := range s.evidence.Calls {
