Nodes read what a backend server says about itself in its answers, and log it

A backend server's answer now comes with a dfpcall.Notice: a rate limit for all nodes together, and whether it leaves. Answers that may be another request's or another instance's say nothing. Nothing acts on a notice yet.

--- a/internal/link/dfpbackend/dfpbackend.go
+++ b/internal/link/dfpbackend/dfpbackend.go
@@ -12,7 +12,7 @@
 // # Usage
 //
 //	client := dfpbackend.New(dfpbackend.Config{MaxConnections: 800})
-//	outcome := client.Run(ctx, "127.0.0.1:9001", req, parentToken)
+//	outcome, notice := client.Run(ctx, "127.0.0.1:9001", req, parentToken)
 package dfpbackend
 
 import (
@@ -48,6 +48,15 @@
 // running any part of it.
 const HeaderShed = "Dragonflyport-Shed"
 
+// Headers by which a backend server says in an answer what it takes; see dfpcall.Notice. They are not passed
+// on to the caller.
+const (
+	// HeaderRateLimit is the number of requests a second that the backend server takes from all nodes together.
+	HeaderRateLimit = "Dragonflyport-Rate-Limit"
+	// HeaderLeaving is "yes" if the backend server is about to stop and takes no new requests.
+	HeaderLeaving = "Dragonflyport-Leaving"
+)
+
 // shedRetryAfter is the retry delay for a request shed by a backend server that sends no Retry-After.
 const shedRetryAfter = time.Second
 
@@ -118,8 +127,9 @@
 func (c *Client) Close() { c.transport.CloseIdleConnections() }
 
 // Run runs a request on the backend server at address and waits for the complete response. The token
-// parent is sent in HeaderParent. Cancelling ctx cancels the request. Run never returns nil.
-func (c *Client) Run(ctx context.Context, address string, req *dfpcall.Request, parent string) dfpcall.Outcome {
+// parent is sent in HeaderParent. Cancelling ctx cancels the request. The outcome is never nil; the notice is
+// nil if no answer has arrived.
+func (c *Client) Run(ctx context.Context, address string, req *dfpcall.Request, parent string) (dfpcall.Outcome, *dfpcall.Notice) {
 	// Only a request that was handed to a connection can have run.
 	var sent atomic.Bool
 	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
@@ -127,25 +137,35 @@
 	})
 	out, err := c.newRequest(traced, address, req, parent)
 	if err != nil {
-		return &dfpcall.NotRun{Reason: dfpcall.ReasonBadRequest, Budget: req.Budget}
+		return &dfpcall.NotRun{Reason: dfpcall.ReasonBadRequest, Budget: req.Budget}, nil
 	}
 	resp, err := c.transport.RoundTrip(out)
 	if err != nil {
-		return Failure(ctx, dfpcall.ReasonBackendFailed, sent.Load(), req)
+		return Failure(ctx, dfpcall.ReasonBackendFailed, sent.Load(), req), nil
 	}
 	defer resp.Body.Close()
+	header := resp.Header
+	notice := noticeOf(header)
 	body, err := readAll(resp, c.cfg.MaxAnswerBody)
 	if err != nil {
-		return Failure(ctx, dfpcall.ReasonBackendFailed, true, req)
+		return Failure(ctx, dfpcall.ReasonBackendFailed, true, req), notice
 	}
-	header := resp.Header
 	RemoveHopHeaders(header)
 	if resp.StatusCode == http.StatusServiceUnavailable && header.Get(HeaderShed) == "yes" {
-		return &dfpcall.NotRun{Reason: dfpcall.ReasonOverload, RetryAfter: retryAfterOf(header), Budget: req.Budget}
+		return &dfpcall.NotRun{Reason: dfpcall.ReasonOverload, RetryAfter: retryAfterOf(header), Budget: req.Budget}, notice
 	}
 	// On any other response the header would be passed on to the caller, for whom it would be false.
 	header.Del(HeaderShed)
-	return &dfpcall.Answer{Status: resp.StatusCode, Header: header, Body: body, Budget: req.Budget}
+	return &dfpcall.Answer{Status: resp.StatusCode, Header: header, Body: body, Budget: req.Budget}, notice
+}
+
+// noticeOf removes the headers of a notice and returns it. A limit that cannot be read counts as none.
+func noticeOf(header http.Header) *dfpcall.Notice {
+	notice := &dfpcall.Notice{Leaving: header.Get(HeaderLeaving) == "yes"}
+	_ = notice.ParseRateLimit(header.Get(HeaderRateLimit))
+	header.Del(HeaderRateLimit)
+	header.Del(HeaderLeaving)
+	return notice
 }
 
 // retryAfterOf returns the delay in the Retry-After header, or shedRetryAfter if the header is missing or is
--- a/internal/link/dfpbackend/dfpbackend_test.go
+++ b/internal/link/dfpbackend/dfpbackend_test.go
@@ -92,7 +92,29 @@
 			address, _ := rawServer(t, tc.answer)
 			client := newClient(t, dfpbackend.Config{})
 			req := &dfpcall.Request{Method: "POST", Path: "/order", Body: []byte("one")}
-			assert.Equal(t, describe(client.Run(t.Context(), address, req, "token")), tc.want)
+			out, _ := client.Run(t.Context(), address, req, "token")
+			assert.Equal(t, describe(out), tc.want)
+		})
+	}
+}
+
+// TestNotices checks what an answer says about the backend server, and that the caller is not sent it.
+func TestNotices(t *testing.T) {
+	for _, tc := range []struct {
+		name, header string
+		want         dfpcall.Notice
+	}{
+		{"nothing", "", dfpcall.Notice{}},
+		{"a limit", "Dragonflyport-Rate-Limit: 19.6\r\n", dfpcall.Notice{Limited: true, Rate: 19.6}},
+		{"an infinite limit", "Dragonflyport-Rate-Limit: Inf\r\n", dfpcall.Notice{}},
+		{"leaving", "Dragonflyport-Leaving: yes\r\n", dfpcall.Notice{Leaving: true}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			address, _ := rawServer(t, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n"+tc.header+"\r\nhello")
+			out, notice := newClient(t, dfpbackend.Config{}).Run(t.Context(), address, &dfpcall.Request{Method: "POST", Path: "/order"}, "token")
+			assert.DeepEqual(t, *notice, tc.want)
+			header := out.(*dfpcall.Answer).Header
+			assert.Equal(t, len(header[dfpbackend.HeaderRateLimit])+len(header[dfpbackend.HeaderLeaving]), 0)
 		})
 	}
 }
@@ -100,7 +122,7 @@
 func TestHeadKeepsTheLengthOfItsAnswer(t *testing.T) {
 	address, _ := rawServer(t, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n")
 	client := newClient(t, dfpbackend.Config{})
-	out := client.Run(t.Context(), address, &dfpcall.Request{Method: "HEAD", Path: "/catalogue/1", Idempotent: true}, "token")
+	out, _ := client.Run(t.Context(), address, &dfpcall.Request{Method: "HEAD", Path: "/catalogue/1", Idempotent: true}, "token")
 	assert.Equal(t, describe(out), "answer 200 ")
 	assert.DeepEqual(t, out.(*dfpcall.Answer).Header["Content-Length"], []string{"5"})
 }
@@ -130,7 +152,7 @@
 			ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
 			defer cancel()
 			start := time.Now()
-			out := client.Run(ctx, address, &dfpcall.Request{Method: "POST", Path: "/order"}, "token")
+			out, _ := client.Run(ctx, address, &dfpcall.Request{Method: "POST", Path: "/order"}, "token")
 			assert.Equal(t, describe(out), tc.want)
 			assert.Assert(t, time.Since(start) < 3*time.Second)
 		})
@@ -183,7 +205,7 @@
 			address, accepted := silentServer(t, completeResponse)
 			client := newClient(t, dfpbackend.Config{IdleTimeout: tc.idle})
 			for range 2 {
-				out := client.Run(t.Context(), address, &dfpcall.Request{Method: "GET", Path: "/order", Idempotent: true}, "token")
+				out, _ := client.Run(t.Context(), address, &dfpcall.Request{Method: "GET", Path: "/order", Idempotent: true}, "token")
 				assert.Equal(t, describe(out), "answer 200 hello")
 				time.Sleep(300 * time.Millisecond)
 			}
@@ -198,7 +220,7 @@
 	address := ln.Addr().String()
 	ln.Close()
 	client := newClient(t, dfpbackend.Config{})
-	out := client.Run(t.Context(), address, &dfpcall.Request{Method: "POST", Path: "/order"}, "token")
+	out, _ := client.Run(t.Context(), address, &dfpcall.Request{Method: "POST", Path: "/order"}, "token")
 	assert.Equal(t, describe(out), "not_run backend_failed")
 }
 
@@ -225,7 +247,8 @@
 				Method: tc.method, Path: "/order", Body: []byte(tc.body),
 				Header: map[string][]string{"Idempotency-Key": {"k1"}},
 			}
-			assert.Equal(t, describe(client.Run(t.Context(), address, req, "token")), "answer 200 hello")
+			out, _ := client.Run(t.Context(), address, req, "token")
+			assert.Equal(t, describe(out), "answer 200 hello")
 			client.Run(t.Context(), address, req, "token")
 			assert.Equal(t, read.Load(), tc.want)
 		})
--- a/internal/standin/dfpbackendserver/dfpbackendserver.go
+++ b/internal/standin/dfpbackendserver/dfpbackendserver.go
@@ -29,9 +29,12 @@
 	"math"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"dragonflyport/internal/contract/dfpcall"
 )
 
 // Headers that a backend server reads or sets.
@@ -42,6 +45,9 @@
 	HeaderDeadline     = "Dragonflyport-Deadline-Ms"
 	// HeaderShed is set on a 503 response if the request was shed before it ran.
 	HeaderShed = "Dragonflyport-Shed"
+	// HeaderRateLimit and HeaderLeaving are set on all responses as SetNotice says.
+	HeaderRateLimit = "Dragonflyport-Rate-Limit"
+	HeaderLeaving   = "Dragonflyport-Leaving"
 	// HeaderOperation is the name of the operation; a caller's retries have the same.
 	// The name of a nested call's operation is that of its parent, "/", and the index
 	// of the call.
@@ -132,6 +138,7 @@
 	mu         sync.Mutex
 	rnd        *rand.Rand
 	fault      Fault
+	notice     dfpcall.Notice
 	status     Status
 	statusTime time.Time
 	address    string
@@ -172,6 +179,25 @@
 	s.fault = fault
 }
 
+// SetNotice replaces what the server says about itself in its answers from now on.
+func (s *Server) SetNotice(notice dfpcall.Notice) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.notice = notice
+}
+
+// writeNotice sets the headers of the notice.
+func (s *Server) writeNotice(header http.Header) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.notice.Limited {
+		header.Set(HeaderRateLimit, strconv.FormatFloat(s.notice.Rate, 'f', -1, 64))
+	}
+	if s.notice.Leaving {
+		header.Set(HeaderLeaving, "yes")
+	}
+}
+
 // Fault returns the fault in force.
 func (s *Server) Fault() Fault {
 	s.mu.Lock()
--- a/internal/standin/dfpbackendserver/handler.go
+++ b/internal/standin/dfpbackendserver/handler.go
@@ -81,7 +81,8 @@
 	return s.status
 }
 
-func (s *Server) serveRequest(w http.ResponseWriter, r *http.Request) {
+func (s *Server) serveRequest(response http.ResponseWriter, r *http.Request) {
+	w := &noticeWriter{response, s}
 	ctx, cancel := s.requestContext(r)
 	defer cancel()
 	if _, err := io.Copy(io.Discard, http.MaxBytesReader(w, r.Body, maxBodyBytes)); err != nil {
@@ -112,6 +113,18 @@
 	})
 }
 
+// noticeWriter adds the server's notice to the head of a response when it is written.
+type noticeWriter struct {
+	http.ResponseWriter
+	server *Server
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (w *noticeWriter) WriteHeader(status int) {
+	w.server.writeNotice(w.Header())
+	w.ResponseWriter.WriteHeader(status)
+}
+
 // requestContext returns the context of a request. It ends when the caller
 // disconnects or the deadline passes, unless cancellation is ignored.
 func (s *Server) requestContext(r *http.Request) (context.Context, context.CancelFunc) {
--- a/internal/vm/dfpevent/dfpevent.go
+++ b/internal/vm/dfpevent/dfpevent.go
@@ -20,9 +20,11 @@
 	"time"
 
 	"github.com/apex/log"
+
+	"dragonflyport/internal/contract/dfpcall"
 )
 
-// Event is *Request, *Repeated, *Guard, *Backend, *VM, *Ejection, *Rules, *Rate or *Dependency.
+// Event is *Request, *Repeated, *Guard, *Backend, *Notice, *VM, *Ejection, *Rules, *Rate or *Dependency.
 type Event interface {
 	// Name returns the value of the field "event". It does not use the receiver, which may be nil.
 	Name() string
@@ -33,7 +35,7 @@
 // Kinds returns an empty event of each kind.
 func Kinds() []Event {
 	return []Event{
-		new(Request), new(Repeated), new(Guard), new(Backend), new(VM), new(Ejection), new(Rules), new(Rate),
+		new(Request), new(Repeated), new(Guard), new(Backend), new(Notice), new(VM), new(Ejection), new(Rules), new(Rate),
 		new(Dependency),
 	}
 }
@@ -125,6 +127,13 @@
 	State string `json:"state"`
 }
 
+// Notice is what the VM's own backend server says about itself in its answers, after a change.
+type Notice struct {
+	Instance string `json:"instance"`
+	Service  string `json:"service"`
+	dfpcall.Notice
+}
+
 // VM is the state of another VM, as the node knows it.
 type VM struct {
 	Address string `json:"address"`
@@ -189,6 +198,9 @@
 // Name implements Event.
 func (*Backend) Name() string { return "backend_server" }
 
+// Name implements Event.
+func (*Notice) Name() string { return "backend_server_notice" }
+
 // Name implements Event.
 func (*VM) Name() string { return "vm" }
 
@@ -209,7 +221,19 @@
 func (*Guard) message() string     { return "attempt did not succeed" }
 func (b *Backend) message() string { return "backend server is " + b.State }
 func (v *VM) message() string      { return "VM is " + v.State }
-func (*Rate) message() string      { return "allocator of the rates changed" }
+
+func (n *Notice) message() string {
+	switch {
+	case n.Leaving:
+		return "backend server says that it leaves"
+	case n.Limited:
+		return "backend server names a rate limit"
+	default:
+		return "backend server names no rate limit any more"
+	}
+}
+
+func (*Rate) message() string { return "allocator of the rates changed" }
 
 func (e *Ejection) message() string {
 	if e.Restored {
--- a/internal/vm/dfpnode/dfpnode.go
+++ b/internal/vm/dfpnode/dfpnode.go
@@ -213,8 +213,9 @@
 // Backend runs requests on this VM's backend server, with the guarantees of dfpbackend.Client about outcomes.
 type Backend interface {
 	// Run runs one request and waits for the complete answer. The backend server names the request by
-	// token in its nested calls.
-	Run(ctx context.Context, address string, req *dfpcall.Request, token string) dfpcall.Outcome
+	// token in its nested calls. The notice is what the answer says about the backend server; nil if there
+	// was no answer.
+	Run(ctx context.Context, address string, req *dfpcall.Request, token string) (dfpcall.Outcome, *dfpcall.Notice)
 	// Close closes the idle connections.
 	Close()
 }
--- a/internal/vm/dfpnode/dfpnode_guard.go
+++ b/internal/vm/dfpnode/dfpnode_guard.go
@@ -9,6 +9,7 @@
 	"dragonflyport/internal/contract/dfpcall"
 	"dragonflyport/internal/vm/dfpevent"
 	"dragonflyport/internal/vm/dfpguard"
+	"dragonflyport/internal/vm/dfpinstance"
 	"dragonflyport/internal/vm/dfpvm"
 )
 
@@ -35,6 +36,8 @@
 	backend  Announcement
 	expires  time.Time
 	draining bool
+	// notices are those of the instance that backend announces.
+	notices dfpinstance.Notices
 }
 
 func (g *guardLoop) init(n *Node) {
@@ -87,8 +90,9 @@
 	g := &n.guard
 	g.mu.Lock()
 	changed := g.backend != announced || g.expires.IsZero()
-	if g.backend.Instance != announced.Instance && !n.stopping.Load() {
-		g.draining = false
+	if g.backend.Instance != announced.Instance {
+		g.notices = dfpinstance.Notices{}
+		g.draining = g.draining && n.stopping.Load()
 	}
 	g.backend = announced
 	g.expires = time.Now().Add(backendLease)
@@ -128,6 +132,37 @@
 	})
 }
 
+// observeNotice processes what the backend server said about itself in the answer to a request that was sent
+// to it at the given time.
+func (g *guardLoop) observeNotice(backend Announcement, sent time.Time, notice dfpcall.Notice) {
+	now := time.Now()
+	g.mu.Lock()
+	if g.backend.Instance != backend.Instance || !g.notices.Observe(now, sent, notice) {
+		g.mu.Unlock()
+		return
+	}
+	current := g.notices.Current()
+	g.mu.Unlock()
+	g.logNotice(backend, current)
+}
+
+// logNotice logs a change of what the backend server says about itself.
+func (g *guardLoop) logNotice(backend Announcement, notice dfpcall.Notice) {
+	dfpevent.Write(g.n.journal, time.Now(), func() *dfpevent.Notice {
+		return &dfpevent.Notice{Instance: backend.Instance, Service: backend.Service, Notice: notice}
+	})
+}
+
+// rateLimit returns the limit that the backend server names, in requests a second; -1 if there is none.
+func (g *guardLoop) rateLimit() float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if current := g.notices.Current(); current.Limited {
+		return current.Rate
+	}
+	return -1
+}
+
 func (g *guardLoop) readiness() string {
 	if g.isDraining() {
 		return "draining"
@@ -221,8 +256,11 @@
 	if deadline, ok := ctx.Deadline(); ok {
 		req.Timeout = time.Until(deadline)
 	}
-	out := n.backend.Run(ctx, backend.Address, req, token)
+	out, notice := n.backend.Run(ctx, backend.Address, req, token)
 	n.parents.remove(token)
+	if notice != nil {
+		n.guard.observeNotice(backend, started, *notice)
+	}
 	now := time.Now()
 	nestedFailed := running.finish(out, n.guard.load().Level(), n.nested.failedRecently(now))
 	n.guard.finish(now, handle, now.Sub(started), classifyRun(out, nestedFailed))
