Guard: a backend server gets no more than the rate that it names

Cause: nothing acted on the limit; ruled out: nodes that each apply it on their own (arrivals do not step), retries past the guard (no overload refusals there).

The guard beside the backend server is the only way to it, so it enforces the limit alone, for all nodes, cut off or not: a token bucket of 0.1 s, a queue of at most 0.2 s at the limit in the usual order of importance, and refusals that say not run, with the wait at the limit as Retry-After; the entry then tries another backend server. Its load reports what is in flight at the limit, so routers prefer others. A guard that has restarted knows nothing, while entries elsewhere do: they remember what a guard reported, by instance, and send it with requests until the new process has heard its backend server.

TestRateLimitHoldsInEachWindow checks the bound for random arrivals and changes of the limit. The invariant "no request waits while slots are free" of TestGuardInvariants holds only without a limit now: with one, waiting for it is the point; the operation "limit" is new there.

--- a/internal/contract/dfpcall/dfpcall.go
+++ b/internal/contract/dfpcall/dfpcall.go
@@ -147,6 +147,9 @@
 	CallerID string `cbor:"caller_id,omitempty"`
 	// CallerService is the service of the VM where the request began.
 	CallerService string `cbor:"caller_service,omitempty"`
+	// Known is what the sending node knows from its guard of the backend server that it sends the request to. A
+	// guard that has restarted learns it from there.
+	Known *InstanceNotice `cbor:"known,omitempty"`
 	// Class names the requests that are expected to take equally long: the id of the route.
 	Class string `cbor:"-"`
 	// AttemptLog lists the attempts made so far, for reports on how the request ended.
@@ -266,6 +269,8 @@
 	// cohort 0; Cohorts admits all of them.
 	AdmitCohorts uint8 `cbor:"admit_cohorts" json:"admit_cohorts"`
 	Draining     bool  `cbor:"draining" json:"draining"`
+	// Notice is what the backend server says about itself; nil if it says nothing, or nothing yet.
+	Notice *InstanceNotice `cbor:"notice,omitempty" json:"notice,omitempty"`
 }
 
 // Level returns AdmitImportance and AdmitCohorts as one admission level.
--- a/internal/contract/dfpcall/notice.go
+++ b/internal/contract/dfpcall/notice.go
@@ -21,6 +21,12 @@
 	Leaving bool `cbor:"leaving,omitempty" json:"leaving,omitempty"`
 }
 
+// InstanceNotice is the notice of one instance of a backend server.
+type InstanceNotice struct {
+	Instance string `cbor:"instance" json:"instance"`
+	Notice
+}
+
 // ParseRateLimit sets the limit of the notice from a decimal number of requests a second. Empty text means no
 // limit. The error wraps ErrRateLimit, and the notice is then unchanged.
 func (n *Notice) ParseRateLimit(text string) error {
--- a/internal/vm/dfpguard/dfpguard.go
+++ b/internal/vm/dfpguard/dfpguard.go
@@ -2,7 +2,7 @@
 // node's backend server, and when.
 //
 // Every request to the backend server passes its guard, so the number of requests in flight is counted, not
-// estimated. The guard does not ask the backend server's own health and load pages. It combines five
+// estimated. The guard does not ask the backend server's own health and load pages. It combines six
 // mechanisms:
 //
 //   - A concurrency limit, learned from observed service times and failures and never above the
@@ -10,6 +10,8 @@
 //   - A short queue, ordered by importance, then fairly between organisations, then by call depth,
 //     because more work has already been spent on a nested call; see queue.go.
 //   - Stall detection: a backend server without any success for too long gets only probe requests; see stall.go.
+//   - The rate that the backend server names in its answers, if any, for all nodes together; see rate.go. The
+//     guard is the only way to the backend server, so that no node needs to know what others send.
 //   - Immediate refusal of requests that cannot finish before their deadline, and of requests that
 //     a more important arrival displaces from a full queue.
 //   - An admission level, reported in dfpcall.Load, by which entry nodes refuse requests early. It
--- a/internal/vm/dfpguard/estimate.go
+++ b/internal/vm/dfpguard/estimate.go
@@ -47,8 +47,11 @@
 // The estimate is ignored while less than 1/estimateProbeDivisor of the limit is in use.
 const estimateProbeDivisor = 10
 
-// queueDelay returns the expected time until n slots have become free.
-func (g *Guard) queueDelay(n int) time.Duration {
+// queueDelay returns the expected time until n more requests can start.
+func (g *Guard) queueDelay(n int) time.Duration { return max(g.slotDelay(n), g.rate.delay(n)) }
+
+// slotDelay returns the expected time until n slots have become free.
+func (g *Guard) slotDelay(n int) time.Duration {
 	return time.Duration(n) * g.service.mean / time.Duration(g.limit())
 }
 
--- a/internal/vm/dfpguard/guard.go
+++ b/internal/vm/dfpguard/guard.go
@@ -19,6 +19,7 @@
 	service     serviceEstimate
 	refusals    refusalCounter
 	stall       stallDetector
+	rate        rateLimit
 	rampStart   time.Time
 	draining    bool
 	// now is the latest time passed to any method; it never goes back.
@@ -109,7 +110,7 @@
 }
 
 func (g *Guard) arriveFixed(req Request) Decision {
-	if len(g.running) < g.limit() {
+	if g.free() {
 		return g.start(req)
 	}
 	if g.queue.len() >= g.queueLimit() {
@@ -125,7 +126,7 @@
 }
 
 func (g *Guard) arriveAdaptive(req Request, effects *Effects) Decision {
-	free := len(g.running) < g.limit()
+	free := g.free()
 	if g.stalled() && !g.mayProbe(free) {
 		return g.refuse(dfpcall.ReasonNoBackendServer)
 	}
@@ -152,7 +153,9 @@
 	if free {
 		return g.start(req)
 	}
-	g.limiter.saturated = true
+	if len(g.running) >= g.limit() {
+		g.limiter.saturated = true
+	}
 	if g.queue.len() >= g.queueLimit() {
 		victim, ok := g.queue.displace(req)
 		if !ok {
@@ -218,7 +221,11 @@
 	return effects
 }
 
+// free reports whether a request may start now.
+func (g *Guard) free() bool { return len(g.running) < g.limit() && g.rate.allows() }
+
 func (g *Guard) start(req Request) Decision {
+	g.rate.take()
 	g.stall.recordStart(g.now, len(g.running))
 	g.running[req.Handle] = struct{}{}
 	return start
@@ -249,10 +256,11 @@
 		g.rampStart = g.now
 	}
 	g.refusals.advance(g.now)
+	g.rate.advance(g.now)
 	if g.cfg.Mode == ModeAdaptive {
 		g.limiter.advance(g.now)
 		if g.cfg.QueueNested {
-			g.waitControl.advance(g.now, g.cfg.Window, g.queueDelay(g.queue.len()), float64(len(g.running))/float64(g.limit()))
+			g.waitControl.advance(g.now, g.cfg.Window, g.slotDelay(g.queue.len()), float64(len(g.running))/float64(g.limit()))
 		}
 		g.admission.advance(g.now, g.window(), g.queue, g.queueLimit())
 		if g.cfg.QueueNested {
@@ -267,7 +275,7 @@
 }
 
 func (g *Guard) dispatch(effects *Effects) {
-	for len(g.running) < g.limit() {
+	for g.free() {
 		req, ok := g.queue.pop()
 		if !ok {
 			return
@@ -327,6 +335,14 @@
 }
 
 func (g *Guard) queueLimit() int {
+	if g.rate.limited {
+		return min(g.slotsQueueLimit(), max(1, int(g.rate.perSecond*maxRateWait.Seconds())))
+	}
+	return g.slotsQueueLimit()
+}
+
+// slotsQueueLimit returns the limit of the queue of a backend server that names no limit.
+func (g *Guard) slotsQueueLimit() int {
 	if g.cfg.QueueLimit > 0 {
 		return g.cfg.QueueLimit
 	}
--- a/internal/vm/dfpguard/queue.go
+++ b/internal/vm/dfpguard/queue.go
@@ -207,6 +207,18 @@
 	return Request{}, false
 }
 
+// popLast removes and returns the request of the lowest precedence: of the least important ones, one of the
+// organisation with the most waiting requests. It panics if the queue is empty.
+func (q *queue) popLast() Request {
+	lowest, ok := q.lowest()
+	if !ok {
+		panic("dfpguard: popLast of an empty queue")
+	}
+	victim := q.classes[lowest].longest().last()
+	q.remove(victim)
+	return victim.request
+}
+
 // longest returns the flow with the most waiting requests; among equals, the one that is due last.
 func (c *class) longest() *flow {
 	longest := c.order[0]
--- a/internal/vm/dfpguard/state.go
+++ b/internal/vm/dfpguard/state.go
@@ -1,6 +1,7 @@
 package dfpguard
 
 import (
+	"math"
 	"time"
 
 	"dragonflyport/internal/contract/dfpcall"
@@ -34,6 +35,10 @@
 		AdmitCohorts: dfpcall.Cohorts,
 		Draining:     g.draining,
 	}
+	if g.rate.limited {
+		// By Little's law, this many requests are in flight at the limit.
+		load.Limit = min(load.Limit, max(1, int(math.Ceil(g.rate.perSecond*g.service.mean.Seconds()))))
+	}
 	if g.cfg.Mode == ModeAdaptive {
 		load.AdmitImportance, load.AdmitCohorts = g.admission.lowestAdmitted()
 	}
--- a/internal/vm/dfpnode/dfpnode.go
+++ b/internal/vm/dfpnode/dfpnode.go
@@ -245,6 +245,7 @@
 	parents      parents
 	nested       nestedCalls
 	guard        guardLoop
+	peerNotices  peerNotices
 	roster       rosterLoop
 	config       configLoop
 	rates        organisationRates
--- a/internal/vm/dfpnode/dfpnode_guard.go
+++ b/internal/vm/dfpnode/dfpnode_guard.go
@@ -36,8 +36,9 @@
 	backend  Announcement
 	expires  time.Time
 	draining bool
-	// notices are those of the instance that backend announces.
-	notices dfpinstance.Notices
+	// notices are those of the instance that backend announces, and reported is what other nodes are told.
+	notices  dfpinstance.Notices
+	reported *dfpcall.InstanceNotice
 }
 
 func (g *guardLoop) init(n *Node) {
@@ -91,7 +92,7 @@
 	g.mu.Lock()
 	changed := g.backend != announced || g.expires.IsZero()
 	if g.backend.Instance != announced.Instance {
-		g.notices = dfpinstance.Notices{}
+		g.resetNotices()
 		g.draining = g.draining && n.stopping.Load()
 	}
 	g.backend = announced
@@ -132,37 +133,6 @@
 	})
 }
 
-// observeNotice processes what the backend server said about itself in the answer to a request that was sent
-// to it at the given time.
-func (g *guardLoop) observeNotice(backend Announcement, sent time.Time, notice dfpcall.Notice) {
-	now := time.Now()
-	g.mu.Lock()
-	if g.backend.Instance != backend.Instance || !g.notices.Observe(now, sent, notice) {
-		g.mu.Unlock()
-		return
-	}
-	current := g.notices.Current()
-	g.mu.Unlock()
-	g.logNotice(backend, current)
-}
-
-// logNotice logs a change of what the backend server says about itself.
-func (g *guardLoop) logNotice(backend Announcement, notice dfpcall.Notice) {
-	dfpevent.Write(g.n.journal, time.Now(), func() *dfpevent.Notice {
-		return &dfpevent.Notice{Instance: backend.Instance, Service: backend.Service, Notice: notice}
-	})
-}
-
-// rateLimit returns the limit that the backend server names, in requests a second; -1 if there is none.
-func (g *guardLoop) rateLimit() float64 {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if current := g.notices.Current(); current.Limited {
-		return current.Rate
-	}
-	return -1
-}
-
 func (g *guardLoop) readiness() string {
 	if g.isDraining() {
 		return "draining"
@@ -225,7 +195,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
-	return g.guard.Load(now).Raise(g.n.nested.level(now))
+	load := g.guard.Load(now).Raise(g.n.nested.level(now))
+	load.Notice = g.reported
+	return load
 }
 
 // runForPeer runs a request from a node, which may be this one, on this VM's backend server.
@@ -239,6 +211,9 @@
 // runGuarded runs a request on this VM's backend server if the guard admits it.
 func (n *Node) runGuarded(ctx context.Context, req *dfpcall.Request) dfpcall.Outcome {
 	n.metrics.guardArrived.Add(1)
+	if req.Known != nil {
+		n.guard.adoptNotice(req.Known)
+	}
 	ctx, cancel := context.WithTimeout(ctx, req.Timeout)
 	defer cancel()
 	handle, backend, refusal := n.guard.admit(ctx, req)
--- a/internal/vm/dfpnode/dfpnode_roster.go
+++ b/internal/vm/dfpnode/dfpnode_roster.go
@@ -198,6 +198,7 @@
 // observePeer records what a peer reports about itself with each answer and heartbeat.
 func (n *Node) observePeer(from string, incarnation, version uint64, load dfpcall.Load) {
 	n.router.Observe(time.Now(), from, load)
+	n.peerNotices.observe(from, incarnation, load.Notice)
 	n.config.observeVersion(from, version)
 	n.roster.do(func(r *dfproster.Roster) dfproster.Effects { return r.RecordContact(time.Now(), from, incarnation) })
 }
--- a/internal/vm/dfpnode/dfpnode_route.go
+++ b/internal/vm/dfpnode/dfpnode_route.go
@@ -72,6 +72,7 @@
 		n.router.Observe(time.Now(), address, n.guard.load())
 		return out
 	}
+	req.Known = n.peerNotices.known(address)
 	return n.mesh.Run(ctx, address, req)
 }
 
