Draining: a backend server that says in its answers that it leaves gets no new requests

DRAIN binds each node that passed on such an answer, and heartbeats may go on saying ready. The guard drains its backend server with the first such answer, before it passes the answer on, so no other node needs to be told in time; the others hear by the usual ways. Leaving is final for an instance.

--- a/internal/vm/dfpnode/dfpnode_notice.go
+++ b/internal/vm/dfpnode/dfpnode_notice.go
@@ -38,6 +38,9 @@
 	}
 	g.deliver(g.guard.SetRateLimit(now, current.Limited, current.Rate))
 	g.mu.Unlock()
+	if current.Leaving {
+		g.n.Drain()
+	}
 	dfpevent.Write(g.n.journal, now, func() *dfpevent.Notice {
 		return &dfpevent.Notice{Instance: backend.Instance, Service: backend.Service, Notice: current}
 	})
