Draining: a backend server that starts again under its name is a new instance

The platform says that a backend server may start again under the id that it had. The node compared names only, so one that had left and came back under its name stayed drained for good: TestServerThatLeftIsServedAgain failed (not served within 20 s) and passes now. Announcements carry the start time, and identity() distinguishes processes by both.

--- a/internal/contract/dfpcall/notice.go
+++ b/internal/contract/dfpcall/notice.go
@@ -23,6 +23,7 @@
 
 // InstanceNotice is the notice of one instance of a backend server.
 type InstanceNotice struct {
+	// Instance distinguishes the instance from those before and after it on its VM; empty if that is not known.
 	Instance string `cbor:"instance" json:"instance"`
 	Notice
 }
--- a/internal/vm/dfpnode/dfpnode_egress.go
+++ b/internal/vm/dfpnode/dfpnode_egress.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -37,6 +38,17 @@
 	Connections int `json:"connections"`
 	// Instance identifies the backend server process and changes when it restarts; empty if not announced.
 	Instance string `json:"instance,omitempty"`
+	// Started is the start time of the process in Unix milliseconds, needed only if a process may start under the
+	// instance name of an earlier one; 0 if not announced.
+	Started int64 `json:"started,omitempty"`
+}
+
+// identity distinguishes the processes of a backend server; empty if they cannot be told apart.
+func (a Announcement) identity() string {
+	if a.Instance == "" || a.Started == 0 {
+		return a.Instance
+	}
+	return fmt.Sprintf("%s@%d", a.Instance, a.Started)
 }
 
 // newEgressServer returns the server for this VM's backend server. It accepts announcements and nested
--- a/internal/vm/dfpnode/dfpnode_guard.go
+++ b/internal/vm/dfpnode/dfpnode_guard.go
@@ -91,7 +91,7 @@
 	g := &n.guard
 	g.mu.Lock()
 	changed := g.backend != announced || g.expires.IsZero()
-	if g.backend.Instance != announced.Instance {
+	if g.backend.identity() != announced.identity() {
 		g.resetNotices()
 		g.draining = g.draining && n.stopping.Load()
 	}
--- a/internal/vm/dfpnode/dfpnode_notice.go
+++ b/internal/vm/dfpnode/dfpnode_notice.go
@@ -12,7 +12,7 @@
 // observeNotice processes what the backend server said about itself in the answer to a request that was sent
 // to it at the given time.
 func (g *guardLoop) observeNotice(backend Announcement, sent time.Time, notice dfpcall.Notice) {
-	g.updateNotices(backend.Instance, func(now time.Time) bool { return g.notices.Observe(now, sent, notice) })
+	g.updateNotices(backend.identity(), func(now time.Time) bool { return g.notices.Observe(now, sent, notice) })
 }
 
 // adoptNotice processes what another node knows of the backend server. It does not tell instances without a
@@ -23,18 +23,19 @@
 	}
 }
 
-// updateNotices calls update if the instance is the one announced, and acts on the change that it reports.
-func (g *guardLoop) updateNotices(instance string, update func(now time.Time) bool) {
+// updateNotices calls update if the identity is that of the process announced, and acts on the change that it
+// reports.
+func (g *guardLoop) updateNotices(identity string, update func(now time.Time) bool) {
 	now := time.Now()
 	g.mu.Lock()
-	if g.backend.Instance != instance || !update(now) {
+	if g.backend.identity() != identity || !update(now) {
 		g.mu.Unlock()
 		return
 	}
 	backend, current := g.backend, g.notices.Current()
 	g.reported = nil
 	if current != (dfpcall.Notice{}) {
-		g.reported = &dfpcall.InstanceNotice{Instance: instance, Notice: current}
+		g.reported = &dfpcall.InstanceNotice{Instance: identity, Notice: current}
 	}
 	g.deliver(g.guard.SetRateLimit(now, current.Limited, current.Rate))
 	g.mu.Unlock()
