Nodes notice that their backend server has crashed, and count the requests that may be the cause

A dfpquarantine.Watch follows the requests on the backend server. A crash shows by a refused connection (asked for at once when a request is broken off), by another process announced or by another process at the address; suspects are the requests without an answer since the last one that showed the server alive. Line crash, gauge dragonflyport_backend_crashes. Nothing acts on it yet.

--- a/internal/link/dfpbackend/dfpbackend.go
+++ b/internal/link/dfpbackend/dfpbackend.go
@@ -18,6 +18,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -27,6 +28,7 @@
 	"strconv"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"dragonflyport/internal/contract/dfpcall"
@@ -116,6 +118,21 @@
 	}}
 }
 
+// Refuses reports whether no process accepts connections at the address. It returns false if ctx ends first.
+func (c *Client) Refuses(ctx context.Context, address string) bool {
+	return Refuses(ctx, c.cfg.dial, address)
+}
+
+// Refuses reports whether a connection to the address, opened by dial, is refused.
+func Refuses(ctx context.Context, dial func(ctx context.Context, network, address string) (net.Conn, error), address string) bool {
+	conn, err := dial(ctx, "tcp", address)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	_ = conn.Close() // Nothing was sent.
+	return false
+}
+
 // dial opens a connection, for which it allows DialTimeout.
 func (c Config) dial(ctx context.Context, network, address string) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.DialTimeout)
--- a/internal/vm/dfpevent/dfpevent.go
+++ b/internal/vm/dfpevent/dfpevent.go
@@ -24,7 +24,7 @@
 	"dragonflyport/internal/contract/dfpcall"
 )
 
-// Event is *Request, *Repeated, *Guard, *Backend, *Notice, *VM, *Ejection, *Rules, *Rate or *Dependency.
+// Event is *Request, *Repeated, *Guard, *Backend, *Notice, *Crash, *VM, *Ejection, *Rules, *Rate or *Dependency.
 type Event interface {
 	// Name returns the value of the field "event". It does not use the receiver, which may be nil.
 	Name() string
@@ -35,7 +35,7 @@
 // Kinds returns an empty event of each kind.
 func Kinds() []Event {
 	return []Event{
-		new(Request), new(Repeated), new(Guard), new(Backend), new(Notice), new(VM), new(Ejection), new(Rules), new(Rate),
+		new(Request), new(Repeated), new(Guard), new(Backend), new(Notice), new(Crash), new(VM), new(Ejection), new(Rules), new(Rate),
 		new(Dependency),
 	}
 }
@@ -134,6 +134,14 @@
 	dfpcall.Notice
 }
 
+// Crash reports that the VM's own backend server has crashed while it ran requests.
+type Crash struct {
+	Instance string `json:"instance"`
+	Service  string `json:"service"`
+	// Suspects is the number of different requests that it may have been running.
+	Suspects int `json:"suspects"`
+}
+
 // VM is the state of another VM, as the node knows it.
 type VM struct {
 	Address string `json:"address"`
@@ -201,6 +209,9 @@
 // Name implements Event.
 func (*Notice) Name() string { return "backend_server_notice" }
 
+// Name implements Event.
+func (*Crash) Name() string { return "crash" }
+
 // Name implements Event.
 func (*VM) Name() string { return "vm" }
 
@@ -222,6 +233,8 @@
 func (b *Backend) message() string { return "backend server is " + b.State }
 func (v *VM) message() string      { return "VM is " + v.State }
 
+func (*Crash) message() string { return "backend server has crashed" }
+
 func (n *Notice) message() string {
 	switch {
 	case n.Leaving:
--- a/internal/vm/dfpnode/dfpnode.go
+++ b/internal/vm/dfpnode/dfpnode.go
@@ -216,6 +216,8 @@
 	// token in its nested calls. The notice is what the answer says about the backend server; nil if there
 	// was no answer.
 	Run(ctx context.Context, address string, req *dfpcall.Request, token string) (dfpcall.Outcome, *dfpcall.Notice)
+	// Refuses reports whether no process accepts connections at the address. It returns false if ctx ends first.
+	Refuses(ctx context.Context, address string) bool
 	// Close closes the idle connections.
 	Close()
 }
@@ -245,6 +247,7 @@
 	parents      parents
 	nested       nestedCalls
 	guard        guardLoop
+	crashes      crashLoop
 	peerNotices  peerNotices
 	roster       rosterLoop
 	config       configLoop
@@ -277,6 +280,7 @@
 	n.router = dfproute.New(route)
 	n.callers = dfpcaller.New(dfpcaller.Config{Admit: n.AdmitCaller, Serve: n.ServeCaller, KeepKeys: cfg.KeepKeys})
 	n.guard.init(n)
+	n.crashes.n = n
 	n.rates = newRates(n) // Before roster.init, which passes it the list of VMs.
 	n.fleetBudgets = newFleetBudgets(cfg.FleetBudget)
 	n.roster.init(n)
--- a/internal/vm/dfpnode/dfpnode_guard.go
+++ b/internal/vm/dfpnode/dfpnode_guard.go
@@ -11,6 +11,7 @@
 	"dragonflyport/internal/vm/dfpguard"
 	"dragonflyport/internal/vm/dfpinstance"
 	"dragonflyport/internal/vm/dfpvm"
+	"dragonflyport/internal/zone/dfpquarantine"
 )
 
 const (
@@ -91,7 +92,8 @@
 	g := &n.guard
 	g.mu.Lock()
 	changed := g.backend != announced || g.expires.IsZero()
-	if g.backend.identity() != announced.identity() {
+	before := g.backend
+	if before.identity() != announced.identity() {
 		g.resetNotices()
 		g.draining = g.draining && n.stopping.Load()
 	}
@@ -105,6 +107,9 @@
 		return
 	}
 	n.guard.logBackend(announced, n.guard.readiness())
+	if before.identity() != announced.identity() {
+		n.crashes.crashed(before)
+	}
 	n.roster.updateSelf(func(vm *dfpvm.VM) {
 		vm.Service, vm.BackendAddress, vm.Slots = announced.Service, announced.Address, announced.Slots
 		vm.Draining = g.isDraining()
@@ -231,7 +236,9 @@
 	if deadline, ok := ctx.Deadline(); ok {
 		req.Timeout = time.Until(deadline)
 	}
+	n.crashes.start(uint64(handle), dfpquarantine.FingerprintOf(req))
 	out, notice := n.backend.Run(ctx, backend.Address, req, token)
+	n.crashes.finish(uint64(handle), backend, out)
 	n.parents.remove(token)
 	if notice != nil {
 		n.guard.observeNotice(backend, started, *notice)
@@ -240,8 +247,9 @@
 	nestedFailed := running.finish(out, n.guard.load().Level(), n.nested.failedRecently(now))
 	n.guard.finish(now, handle, now.Sub(started), classifyRun(out, nestedFailed))
 	n.metrics.guardRan.Add(1)
-	if notRun, ok := out.(*dfpcall.NotRun); ok && notRun.Reason == dfpcall.ReasonNoBackendServer {
+	if hasEnded(out) {
 		n.withdrawBackend(backend.Instance)
+		n.crashes.crashed(backend)
 	}
 	return out
 }
--- a/internal/vm/dfpnode/dfpnode_operator.go
+++ b/internal/vm/dfpnode/dfpnode_operator.go
@@ -31,6 +31,7 @@
 	guardArrived     expvar.Int
 	guardRefused     expvar.Int
 	guardRan         expvar.Int
+	backendCrashes   expvar.Int
 	platformFailures expvar.Int
 	platformRestores expvar.Int
 	// egressRefused counts requests that the egress rejected as invalid.
@@ -61,6 +62,7 @@
 		"nested_calls":       &m.nested,
 		"retries":            &m.retries,
 		"refused_early":      &m.refusedEarly,
+		"backend_crashes":    &m.backendCrashes,
 		"guard_arrived":      &m.guardArrived,
 		"guard_refused":      &m.guardRefused,
 		"guard_ran":          &m.guardRan,
--- a/internal/vm/dfpnode/dfpnode_prometheus.go
+++ b/internal/vm/dfpnode/dfpnode_prometheus.go
@@ -45,6 +45,7 @@
 		{"guard_limit", "Requests that the backend server may run at once.", func() float64 { return float64(n.guard.load().Limit) }},
 		{"guard_level", "Admission level, from 0 for all to 512 for none.", func() float64 { return float64(n.guard.load().Level()) }},
 		{"guard_rate_limit", "Requests a second that the backend server takes from all nodes together; -1 without a limit.", n.guard.rateLimit},
+		{"backend_crashes", "Times that the backend server was seen to have crashed under requests.", func() float64 { return float64(n.metrics.backendCrashes.Value()) }},
 		{"platform_restores", "Times that the platform's store was restored from an earlier copy.", func() float64 { return float64(n.metrics.platformRestores.Value()) }},
 		{"platform_failures", "Failed calls to the platform's store.", func() float64 { return float64(n.metrics.platformFailures.Value()) }},
 		{"retries", "Attempts beyond the first.", func() float64 { return float64(n.metrics.retries.Value()) }},
--- /dev/null
+++ b/internal/zone/dfpquarantine/watch.go
@@ -0,0 +1,98 @@
+// Package dfpquarantine tells which requests may have crashed a backend server.
+//
+// A backend server that crashes takes all its requests with it, and nothing tells which one was the cause. A
+// Watch follows the requests on one backend server and knows which ones got no answer when it crashed.
+//
+// # Usage
+//
+//	watch.Start(handle, dfpquarantine.FingerprintOf(req))
+//	watch.Finish(now, handle, dfpquarantine.EndedAnswered)
+//	suspects := watch.Crashed(now)
+//
+// The types have no clock and do no I/O. They are not safe for concurrent use.
+package dfpquarantine
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// orderTolerance allows for answers and broken connections being seen in another order than they happened.
+	orderTolerance = 100 * time.Millisecond
+	// maxUnansweredAge is how long an ended request without an answer can be a suspect.
+	maxUnansweredAge = 10 * time.Second
+	// maxUnanswered bounds the number of these.
+	maxUnanswered = 1024
+)
+
+// Watch follows the requests on one backend server. When that crashes, Crashed returns those that it may have
+// been running: the ones in progress, and the ones that ended without an answer when no later answer has shown
+// it alive. The zero value follows none.
+type Watch struct {
+	running    map[uint64]Fingerprint
+	unanswered []unanswered
+	answeredAt time.Time
+}
+
+type unanswered struct {
+	fingerprint Fingerprint
+	at          time.Time
+}
+
+// Start records that the request with a handle is sent to the backend server.
+func (w *Watch) Start(handle uint64, f Fingerprint) {
+	if w.running == nil {
+		w.running = make(map[uint64]Fingerprint)
+	}
+	w.running[handle] = f
+}
+
+// Ending is how a request at a backend server ended.
+type Ending int
+
+const (
+	// EndedAnswered means that the backend server has answered, which shows it alive.
+	EndedAnswered Ending = iota
+	// EndedUnanswered means that the backend server may have run the request and has not answered.
+	EndedUnanswered
+	// EndedUnsent means that the backend server has not got the request.
+	EndedUnsent
+)
+
+// Finish records how the request with a handle ended.
+func (w *Watch) Finish(now time.Time, handle uint64, ending Ending) {
+	f, ok := w.running[handle]
+	delete(w.running, handle)
+	switch {
+	case ending == EndedAnswered:
+		w.answeredAt = now
+		w.unanswered = slices.DeleteFunc(w.unanswered, func(u unanswered) bool { return now.Sub(u.at) > orderTolerance })
+	case ending == EndedUnanswered && ok:
+		if len(w.unanswered) == maxUnanswered {
+			w.unanswered = slices.Delete(w.unanswered, 0, 1)
+		}
+		w.unanswered = append(w.unanswered, unanswered{f, now})
+	}
+}
+
+// Crashed records that the backend server has crashed, and returns the requests that it may have been running.
+// Requests that started earlier no longer belong to the next instance.
+func (w *Watch) Crashed(now time.Time) []Fingerprint {
+	var suspects []Fingerprint
+	add := func(f Fingerprint) {
+		if !slices.Contains(suspects, f) {
+			suspects = append(suspects, f)
+		}
+	}
+	for _, u := range w.unanswered {
+		if now.Sub(u.at) <= maxUnansweredAge && w.answeredAt.Sub(u.at) <= orderTolerance {
+			add(u.fingerprint)
+		}
+	}
+	for _, f := range w.running {
+		add(f)
+	}
+	*w = Watch{}
+	return suspects
+}
