Quarantine: a request that has crashed three backend servers is refused

Cause: nothing remembered it. Limits on retries count attempts of one request; the repeats are new requests of the caller. Ruled out: retries of the node as the main cause (one attempt each in the lines once the fleet's budget was spent), overrun of cold servers (the same path is in progress at each end).

A crash does not tell which of the requests in progress was the cause (85 in one of the incident's). Each of them is counted, by a hash of what it asks for and for which organisation; an answer to it, whatever its status, proves that it does not crash servers and takes its crashes back. What remains after three crashes of different instances is refused by all entries and guards, as not run, for ten minutes from its last crash; after that one more crash is enough. The node beside the server tells all others at once, and each node tells one at random each second what it knows, so cut and restarted nodes learn it (two-phase sets, cited in the package).

--- a/internal/contract/dfpcall/dfpcall.go
+++ b/internal/contract/dfpcall/dfpcall.go
@@ -255,6 +255,8 @@
 	ReasonClaimsFull         Reason = "claims_full"
 	ReasonRepeatOfUnknown    Reason = "repeat_of_unknown"
 	ReasonAnswerNotKept      Reason = "ran_before_answer_not_kept"
+	// ReasonQuarantined refuses a request that has crashed several backend servers.
+	ReasonQuarantined Reason = "quarantined"
 )
 
 // Load is the state that a guard reports about its backend server in every answer and heartbeat.
--- a/internal/link/dfppeer/control.go
+++ b/internal/link/dfppeer/control.go
@@ -15,6 +15,8 @@
 	TopicRules  Topic = "rules"
 	TopicShare  Topic = "share"
 	TopicOnce   Topic = "once"
+	// TopicQuarantine is for the requests that crash backend servers.
+	TopicQuarantine Topic = "quarantine"
 )
 
 // Control is a message between the same component on two nodes. Version is the sender's version of
--- a/internal/vm/dfpevent/dfpevent.go
+++ b/internal/vm/dfpevent/dfpevent.go
@@ -24,7 +24,8 @@
 	"dragonflyport/internal/contract/dfpcall"
 )
 
-// Event is *Request, *Repeated, *Guard, *Backend, *Notice, *Crash, *VM, *Ejection, *Rules, *Rate or *Dependency.
+// Event is *Request, *Repeated, *Guard, *Backend, *Notice, *Crash, *Quarantine,
+// *VM, *Ejection, *Rules, *Rate or *Dependency.
 type Event interface {
 	// Name returns the value of the field "event". It does not use the receiver, which may be nil.
 	Name() string
@@ -35,7 +36,7 @@
 // Kinds returns an empty event of each kind.
 func Kinds() []Event {
 	return []Event{
-		new(Request), new(Repeated), new(Guard), new(Backend), new(Notice), new(Crash), new(VM), new(Ejection), new(Rules), new(Rate),
+		new(Request), new(Repeated), new(Guard), new(Backend), new(Notice), new(Crash), new(Quarantine), new(VM), new(Ejection), new(Rules), new(Rate),
 		new(Dependency),
 	}
 }
@@ -142,6 +143,13 @@
 	Suspects int `json:"suspects"`
 }
 
+// Quarantine reports that the node refuses a request from now on, since it has crashed several backend servers.
+// Its repeats have lines Request with the reason "quarantined".
+type Quarantine struct {
+	// Fingerprint is a hash of the request and its organisation; it is the same in all nodes' logs.
+	Fingerprint string `json:"fingerprint"`
+}
+
 // VM is the state of another VM, as the node knows it.
 type VM struct {
 	Address string `json:"address"`
@@ -212,6 +220,9 @@
 // Name implements Event.
 func (*Crash) Name() string { return "crash" }
 
+// Name implements Event.
+func (*Quarantine) Name() string { return "quarantine" }
+
 // Name implements Event.
 func (*VM) Name() string { return "vm" }
 
@@ -233,6 +244,8 @@
 func (b *Backend) message() string { return "backend server is " + b.State }
 func (v *VM) message() string      { return "VM is " + v.State }
 
+func (*Quarantine) message() string { return "request quarantined" }
+
 func (*Crash) message() string { return "backend server has crashed" }
 
 func (n *Notice) message() string {
--- a/internal/vm/dfpnode/dfpnode.go
+++ b/internal/vm/dfpnode/dfpnode.go
@@ -248,6 +248,7 @@
 	nested       nestedCalls
 	guard        guardLoop
 	crashes      crashLoop
+	quarantine   quarantineLoop
 	peerNotices  peerNotices
 	roster       rosterLoop
 	config       configLoop
@@ -280,7 +281,7 @@
 	n.router = dfproute.New(route)
 	n.callers = dfpcaller.New(dfpcaller.Config{Admit: n.AdmitCaller, Serve: n.ServeCaller, KeepKeys: cfg.KeepKeys})
 	n.guard.init(n)
-	n.crashes.n = n
+	n.crashes.n, n.quarantine.n = n, n
 	n.rates = newRates(n) // Before roster.init, which passes it the list of VMs.
 	n.fleetBudgets = newFleetBudgets(cfg.FleetBudget)
 	n.roster.init(n)
--- a/internal/vm/dfpnode/dfpnode_control.go
+++ b/internal/vm/dfpnode/dfpnode_control.go
@@ -37,6 +37,8 @@
 		return n.rates.handle(from, msg)
 	case dfppeer.TopicOnce:
 		return n.claims.handle(from, msg)
+	case dfppeer.TopicQuarantine:
+		return n.quarantine.handle(msg)
 	default:
 		return dfppeer.Control{}, fmt.Errorf("%w %q", errUnknownTopic, msg.Topic)
 	}
--- a/internal/vm/dfpnode/dfpnode_crash.go
+++ b/internal/vm/dfpnode/dfpnode_crash.go
@@ -83,6 +83,7 @@
 	if len(suspects) == 0 {
 		return
 	}
+	c.n.quarantine.recordCrash(suspects)
 	c.n.metrics.backendCrashes.Add(1)
 	dfpevent.Write(c.n.journal, now, func() *dfpevent.Crash {
 		return &dfpevent.Crash{Instance: backend.Instance, Service: backend.Service, Suspects: len(suspects)}
--- a/internal/vm/dfpnode/dfpnode_guard.go
+++ b/internal/vm/dfpnode/dfpnode_guard.go
@@ -226,6 +226,12 @@
 		n.metrics.guardRefused.Add(1)
 		return refusal
 	}
+	// The request may have waited while it was quarantined, and its entry may not have heard of it.
+	if refusal := n.quarantine.refuse(req); refusal != nil {
+		n.guard.finish(time.Now(), handle, 0, runInconclusive)
+		n.metrics.guardRefused.Add(1)
+		return refusal
+	}
 	return n.runAdmitted(ctx, req, handle, backend)
 }
 
@@ -236,9 +242,13 @@
 	if deadline, ok := ctx.Deadline(); ok {
 		req.Timeout = time.Until(deadline)
 	}
-	n.crashes.start(uint64(handle), dfpquarantine.FingerprintOf(req))
+	fingerprint := dfpquarantine.FingerprintOf(req)
+	n.crashes.start(uint64(handle), fingerprint)
 	out, notice := n.backend.Run(ctx, backend.Address, req, token)
 	n.crashes.finish(uint64(handle), backend, out)
+	if _, answered := out.(*dfpcall.Answer); answered {
+		n.quarantine.recordAnswer(fingerprint)
+	}
 	n.parents.remove(token)
 	if notice != nil {
 		n.guard.observeNotice(backend, started, *notice)
--- a/internal/vm/dfpnode/dfpnode_route.go
+++ b/internal/vm/dfpnode/dfpnode_route.go
@@ -16,6 +16,9 @@
 // dispatch sends a request to a backend server of its service. It retries on another one if that is safe and
 // the retry budget allows it.
 func (n *Node) dispatch(ctx context.Context, req *dfpcall.Request) dfpcall.Outcome {
+	if refusal := n.quarantine.refuse(req); refusal != nil {
+		return refusal
+	}
 	var tried []string
 	reached := 0
 	n.fleetBudgets.count(req.Service)
@@ -33,6 +36,9 @@
 				return out
 			}
 		}
+		if n.quarantine.refuse(req) != nil {
+			return out
+		}
 		n.metrics.retries.Add(1)
 		req.Budget = decision.Budget
 		tried = append(tried, address)
--- a/internal/vm/dfpnode/dfpnode_run.go
+++ b/internal/vm/dfpnode/dfpnode_run.go
@@ -153,6 +153,7 @@
 		n.group.Go(n.claims.run)
 	}
 	n.group.Go(n.guard.run)
+	n.group.Go(n.quarantine.run)
 }
 
 // shutdown stops the node without interrupting requests in progress, unless they outlast Config.DrainTimeout:
--- a/internal/zone/dfpquarantine/fingerprint.go
+++ b/internal/zone/dfpquarantine/fingerprint.go
@@ -9,12 +9,17 @@
 // Fingerprint is a hash of what a request asks for and on whose behalf.
 type Fingerprint uint64
 
-// FingerprintOf returns the fingerprint of a request. Requests with the same service, host, method, path, query,
-// body and organisation have the same one, wherever they enter the fleet.
+// FingerprintOf returns the fingerprint of a request. Requests with the same host, method, path, query, body and
+// organisation have the same one, wherever they enter the fleet and whichever service their route draws. Nested
+// calls name a service in place of a host.
 func FingerprintOf(req *dfpcall.Request) Fingerprint {
 	var digest xxhash.Digest
 	digest.Reset()
-	for _, part := range []string{req.Service, req.Organisation, req.Host, req.Method, req.Path} {
+	target := req.Host
+	if req.Depth > 0 {
+		target = req.Service
+	}
+	for _, part := range []string{target, req.Organisation, req.Method, req.Path} {
 		_, _ = digest.WriteString(part)
 		_, _ = digest.Write([]byte{0})
 	}
--- a/internal/zone/dfpquarantine/watch.go
+++ b/internal/zone/dfpquarantine/watch.go
@@ -1,15 +1,3 @@
-// Package dfpquarantine tells which requests may have crashed a backend server.
-//
-// A backend server that crashes takes all its requests with it, and nothing tells which one was the cause. A
-// Watch follows the requests on one backend server and knows which ones got no answer when it crashed.
-//
-// # Usage
-//
-//	watch.Start(handle, dfpquarantine.FingerprintOf(req))
-//	watch.Finish(now, handle, dfpquarantine.EndedAnswered)
-//	suspects := watch.Crashed(now)
-//
-// The types have no clock and do no I/O. They are not safe for concurrent use.
 package dfpquarantine
 
 import (
