Quarantine: a request that many callers send is not suspected when servers end for another reason

If several servers of a service end at once, a request that is in progress on all of them has three crashes without an answer in between and would be refused for ten minutes. A request that the instance itself has answered before is not what crashed it, so Watch remembers the last answers of each instance. TestWatch ("in progress, and answered before by the same instance") failed before: it was suspected.

--- a/internal/vm/dfpnode/dfpnode_crash.go
+++ b/internal/vm/dfpnode/dfpnode_crash.go
@@ -60,7 +60,7 @@
 		return dfpquarantine.EndedAnswered
 	case *dfpcall.NotRun:
 		if out.ReachedBackend && out.Reason == dfpcall.ReasonOverload {
-			return dfpquarantine.EndedAnswered
+			return dfpquarantine.EndedRefused
 		}
 		return dfpquarantine.EndedUnsent
 	default:
--- a/internal/zone/dfpquarantine/dfpquarantine_test.go
+++ b/internal/zone/dfpquarantine/dfpquarantine_test.go
@@ -67,6 +67,14 @@
 			w.Finish(at(990), 2, dfpquarantine.EndedAnswered)
 		}, []dfpquarantine.Fingerprint{10}},
 		{"broken off long ago", func(w *dfpquarantine.Watch) { w.Finish(at(-60_000), 1, dfpquarantine.EndedUnanswered) }, nil},
+		{"in progress, and answered before by the same instance", func(w *dfpquarantine.Watch) {
+			w.Start(2, 10)
+			w.Finish(at(100), 2, dfpquarantine.EndedAnswered)
+		}, nil},
+		{"in progress, and refused before", func(w *dfpquarantine.Watch) {
+			w.Start(2, 10)
+			w.Finish(at(100), 2, dfpquarantine.EndedRefused)
+		}, []dfpquarantine.Fingerprint{10}},
 		{"twice in progress", func(w *dfpquarantine.Watch) { w.Start(2, 10) }, []dfpquarantine.Fingerprint{10}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
--- a/internal/zone/dfpquarantine/watch.go
+++ b/internal/zone/dfpquarantine/watch.go
@@ -16,13 +16,20 @@
 
 // Watch follows the requests on one backend server. When that crashes, Crashed returns those that it may have
 // been running: the ones in progress, and the ones that ended without an answer when no later answer has shown
-// it alive. The zero value follows none.
+// it alive. A request that this instance has answered before is not the cause; it would otherwise be suspected
+// whenever many servers end at once, if many callers send it. The zero value follows none.
 type Watch struct {
 	running    map[uint64]Fingerprint
 	unanswered []unanswered
+	// answeredAt is the time of the last answer, and answered holds recent answers' requests by their hash.
 	answeredAt time.Time
+	answered   *[answeredSlots]Fingerprint
 }
 
+// answeredSlots is the number of answered requests that a Watch remembers; two with the same slot replace each
+// other.
+const answeredSlots = 4096
+
 type unanswered struct {
 	fingerprint Fingerprint
 	at          time.Time
@@ -40,8 +47,10 @@
 type Ending int
 
 const (
-	// EndedAnswered means that the backend server has answered, which shows it alive.
+	// EndedAnswered means that the backend server has run the request and answered.
 	EndedAnswered Ending = iota
+	// EndedRefused means that the backend server has answered that it has not run the request.
+	EndedRefused
 	// EndedUnanswered means that the backend server may have run the request and has not answered.
 	EndedUnanswered
 	// EndedUnsent means that the backend server has not got the request.
@@ -52,8 +61,14 @@
 func (w *Watch) Finish(now time.Time, handle uint64, ending Ending) {
 	f, ok := w.running[handle]
 	delete(w.running, handle)
+	if ok && ending == EndedAnswered {
+		if w.answered == nil {
+			w.answered = new([answeredSlots]Fingerprint)
+		}
+		w.answered[f%answeredSlots] = f
+	}
 	switch {
-	case ending == EndedAnswered:
+	case ending == EndedAnswered, ending == EndedRefused:
 		w.answeredAt = now
 		w.unanswered = slices.DeleteFunc(w.unanswered, func(u unanswered) bool { return now.Sub(u.at) > orderTolerance })
 	case ending == EndedUnanswered && ok:
@@ -69,7 +84,7 @@
 func (w *Watch) Crashed(now time.Time) []Fingerprint {
 	var suspects []Fingerprint
 	add := func(f Fingerprint) {
-		if !slices.Contains(suspects, f) {
+		if proven := w.answered != nil && w.answered[f%answeredSlots] == f; !proven && !slices.Contains(suspects, f) {
 			suspects = append(suspects, f)
 		}
 	}
