Soak: backend servers that name limits, that say that they leave, and requests that crash them

Three kinds of faults more, with their checks and two rows each in TestCheck. A backend server's answers say what it takes; a request with a set body crashes each instance that runs it and is repeated at all nodes every 200 ms. The checks allow what a restart of the node beside the server may lose, and all nodes' counts after all were killed at once.

--- a/internal/standin/dfpsoak/backend.go
+++ b/internal/standin/dfpsoak/backend.go
@@ -8,8 +8,11 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
+
+	"dragonflyport/internal/contract/dfpcall"
 )
 
 const (
@@ -22,6 +25,14 @@
 	faultyFraction = 0.5
 	// serveAfterDrain is how long a draining instance serves after Bounds.DrainWithin has passed.
 	serveAfterDrain = 500 * time.Millisecond
+	// crashBody begins the body of a request that crashes the backend server that runs it, crashDelay after its
+	// start.
+	crashBody  = "crash "
+	crashDelay = 30 * time.Millisecond
+	// crashRequestInterval is the time between two repeats of such a request.
+	crashRequestInterval = 200 * time.Millisecond
+	// minNamedRate and maxNamedRate bound the limits that backend servers name, in requests a second.
+	minNamedRate, maxNamedRate = 0.5, 6.0
 	// restartDelay is the time between the stop of a drained instance and the start of the next one.
 	restartDelay = 500 * time.Millisecond
 )
@@ -42,7 +53,9 @@
 	started  time.Time
 	sequence uint64
 	draining bool
-	running  int
+	// notice is what the instance says about itself in its answers.
+	notice  dfpcall.Notice
+	running int
 	// activeFault is the kind of the fault in force; empty if there is none.
 	activeFault kind
 	ledger      []Run
@@ -58,7 +71,7 @@
 	b.mu.Lock()
 	b.starts++
 	b.server, b.instance = server, fmt.Sprintf("i-%d-%d", b.node.index, b.starts)
-	b.started, b.sequence, b.draining = time.Now(), 0, false
+	b.started, b.sequence, b.draining, b.notice = time.Now(), 0, false, dfpcall.Notice{}
 	b.mu.Unlock()
 	b.soak.group.Go(func() error {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
@@ -90,14 +103,15 @@
 // handle runs one request. It refuses the request if all slots are taken, if the active fault is shedServer and
 // affects the request, or if the request is for another instance.
 func (b *backend) handle(w http.ResponseWriter, r *http.Request) {
-	_, _ = io.Copy(io.Discard, r.Body) // A truncated body also ends the context.
+	body, _ := io.ReadAll(r.Body) // A truncated body also ends the context.
 	run := b.soak.cfg.Protocol.ReadRequest(r)
 	b.mu.Lock()
-	run.Instance, run.Service, run.At = b.instance, b.node.spec.Service, time.Now()
+	run.Instance, run.Service, run.At, run.Body = b.instance, b.node.spec.Service, time.Now(), string(body)
 	faulty := b.rnd.Float64() < faultyFraction
 	if b.running >= slots || faulty && b.activeFault == shedServer || run.ExpectedInstance != b.instance {
+		notice := b.notice
 		b.mu.Unlock()
-		b.soak.cfg.Protocol.Refuse(w)
+		b.soak.cfg.Protocol.Refuse(w, run, notice)
 		return
 	}
 	b.ledger = append(b.ledger, run)
@@ -111,6 +125,9 @@
 		b.mu.Unlock()
 	}()
 	switch {
+	case strings.HasPrefix(run.Body, crashBody):
+		b.crash(r.Context(), run)
+		panic(http.ErrAbortHandler)
 	case faulty && active == hangServer:
 		<-r.Context().Done()
 		panic(http.ErrAbortHandler)
@@ -121,7 +138,53 @@
 		b.callStock(r.Context(), run)
 	}
 	sleepUntil(r.Context(), time.Now().Add(serviceTime))
-	b.soak.cfg.Protocol.Answer(w, run)
+	b.mu.Lock()
+	notice := b.notice
+	b.mu.Unlock()
+	b.soak.cfg.Protocol.Answer(w, run, notice)
+	if notice != (dfpcall.Notice{}) {
+		b.soak.recordNotice(run.Instance, b.node.index, notice)
+	}
+}
+
+// crash ends the instance under a request, and starts the next one after restartDelay. If another fault of the
+// backend server is in force, only the request's connection breaks.
+func (b *backend) crash(ctx context.Context, run Run) {
+	sleepUntil(ctx, time.Now().Add(crashDelay))
+	if !b.faultMu.TryLock() {
+		return
+	}
+	b.mu.Lock()
+	current := b.instance == run.Instance && b.server != nil
+	b.mu.Unlock()
+	if !current {
+		b.faultMu.Unlock()
+		return
+	}
+	b.soak.recordCrash(run.Body)
+	b.stop()
+	b.soak.group.Go(func() error {
+		defer b.faultMu.Unlock()
+		sleepUntil(b.soak.ctx, time.Now().Add(restartDelay))
+		return b.start()
+	})
+}
+
+// recordCrash records that a request with a body has crashed an instance.
+func (s *soak) recordCrash(body string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.evidence.Crashes == nil {
+		s.evidence.Crashes = make(map[string][]time.Time)
+	}
+	s.evidence.Crashes[body] = append(s.evidence.Crashes[body], time.Now())
+}
+
+// recordNotice records an answer in which an instance has said something about itself.
+func (s *soak) recordNotice(instance string, node int, notice dfpcall.Notice) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.evidence.Notices = append(s.evidence.Notices, Notice{instance, node, time.Now(), notice})
 }
 
 // callStock makes the nested call of an order. The order completes whether or not the call succeeds.
@@ -197,7 +260,17 @@
 		sleepUntil(ctx, time.Now().Add(f.duration))
 		return b.start()
 	case drainServer:
-		return b.replace(ctx)
+		return b.replace(ctx, false)
+	case leaveServer:
+		return b.replace(ctx, true)
+	case limitServer:
+		b.mu.Lock()
+		rate := minNamedRate + b.rnd.Float64()*(maxNamedRate-minNamedRate)
+		b.mu.Unlock()
+		b.say(dfpcall.Notice{Limited: true, Rate: rate})
+		sleepUntil(ctx, time.Now().Add(f.duration))
+		b.say(dfpcall.Notice{})
+		return nil
 	default:
 		b.setActiveFault(f.kind)
 		sleepUntil(ctx, time.Now().Add(f.duration))
@@ -212,14 +285,25 @@
 	b.activeFault = k
 }
 
+// say sets what the instance says about itself.
+func (b *backend) say(notice dfpcall.Notice) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.notice = notice
+}
+
 // replace drains the instance, lets it serve for a while longer, deregisters and stops it, and starts the next
-// one.
-func (b *backend) replace(ctx context.Context) error {
+// one. With inAnswers, only its answers say that it leaves.
+func (b *backend) replace(ctx context.Context, inAnswers bool) error {
 	b.mu.Lock()
-	b.draining = true
+	b.draining = !inAnswers
+	b.notice.Leaving = inAnswers
 	instance := b.instance
 	b.mu.Unlock()
-	for end := time.Now().Add(DefaultBounds.DrainWithin); !b.sendHeartbeat(ctx) && time.Now().Before(end); {
+	if inAnswers {
+		sleepUntil(ctx, time.Now().Add(DefaultBounds.DrainWithin))
+	}
+	for end := time.Now().Add(DefaultBounds.DrainWithin); !inAnswers && !b.sendHeartbeat(ctx) && time.Now().Before(end); {
 		sleepUntil(ctx, time.Now().Add(heartbeatInterval))
 	}
 	sleepUntil(ctx, time.Now().Add(DefaultBounds.DrainWithin+serveAfterDrain))
--- a/internal/standin/dfpsoak/cause.go
+++ b/internal/standin/dfpsoak/cause.go
@@ -20,6 +20,9 @@
 	case killNode:
 		return s.kill(ctx, n, f.duration)
 	case killAll:
+		s.mu.Lock()
+		s.evidence.AllKilled = append(s.evidence.AllKilled, time.Now())
+		s.mu.Unlock()
 		var group errgroup.Group
 		for _, n := range s.nodes {
 			group.Go(func() error { return s.kill(ctx, n, f.duration) })
@@ -43,8 +46,10 @@
 	case withdrawKey, lowerRate, addRoute:
 		s.changeConfiguration(f.kind)
 		return nil
-	case crashServer, drainServer, hangServer, shedServer, abortServer:
+	case crashServer, drainServer, hangServer, shedServer, abortServer, limitServer, leaveServer:
 		return n.backend.inject(ctx, f)
+	case crashRequest:
+		return s.repeatCrashRequest(ctx, f)
 	default:
 		s.injectLinkOrStore(ctx, n, f)
 		return nil
@@ -111,6 +116,20 @@
 	return from, to, s.start(n)
 }
 
+// repeatCrashRequest sends one request that crashes backend servers again and again, at all nodes in turn.
+func (s *soak) repeatCrashRequest(ctx context.Context, f fault) error {
+	body := fmt.Sprintf("%s%v", crashBody, f.at)
+	end := time.Now().Add(f.duration)
+	for i := 0; time.Now().Before(end) && sleepUntil(ctx, time.Now().Add(crashRequestInterval)); i++ {
+		c := Call{ID: fmt.Sprintf("crash-%v-%d", f.at, i), Path: PathOrder, Organisation: unlimitedOrg, Key: "key-0", AtMostOnce: true, Body: body}
+		if i%2 == 1 {
+			c.Path, c.AtMostOnce = PathBrowse+"packs/", false
+		}
+		s.call(ctx, s.nodes[(f.node+i)%len(s.nodes)], c)
+	}
+	return nil
+}
+
 // changeConfiguration writes a new configuration. The return of the write counts as the acknowledgement.
 func (s *soak) changeConfiguration(k kind) {
 	s.mu.Lock()
--- a/internal/standin/dfpsoak/dfpsoak.go
+++ b/internal/standin/dfpsoak/dfpsoak.go
@@ -32,6 +32,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"dragonflyport/internal/contract/dfpcall"
 	"dragonflyport/internal/standin/dfpload"
 	"dragonflyport/internal/standin/dfpstore"
 )
@@ -94,10 +95,10 @@
 	NewCall(ctx context.Context, callers string, call Call) (*http.Request, error)
 	Classify(response *http.Response, body []byte, call Call) dfpload.Verdict
 	// ReadRequest reads a request to a backend server, Answer responds to it, and Refuse responds that it was
-	// not run.
+	// not run. Both responses say what the notice says about the backend server.
 	ReadRequest(r *http.Request) Run
-	Answer(w http.ResponseWriter, run Run)
-	Refuse(w http.ResponseWriter)
+	Answer(w http.ResponseWriter, run Run, notice dfpcall.Notice)
+	Refuse(w http.ResponseWriter, run Run, notice dfpcall.Notice)
 	// NewHeartbeat makes the request that sends a backend server's heartbeat, and NewDeregistration the one that
 	// deregisters the instance.
 	NewHeartbeat(ctx context.Context, heartbeats string, heartbeat Heartbeat) (*http.Request, error)
@@ -151,6 +152,8 @@
 	Key          string
 	// AtMostOnce means that the call may run at most once.
 	AtMostOnce bool
+	// Body is the body of the request; empty for the ID.
+	Body string
 	// Probe means that the route of the call may not be in force yet.
 	Probe bool
 	// Node is the index of the node that the call was sent to, and Sent the time.
@@ -180,6 +183,8 @@
 	CallerService string
 	// ExpectedInstance is the instance that the request is addressed to.
 	ExpectedInstance string
+	// Body is the body of the request.
+	Body string
 	// KeySeen means that the request to the backend server contained the caller's key.
 	KeySeen bool
 	// Instance, Service and At, the start of the run, are set by the backend server.
--- a/internal/standin/dfpsoak/judge.go
+++ b/internal/standin/dfpsoak/judge.go
@@ -5,6 +5,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"dragonflyport/internal/contract/dfpcall"
 )
 
 // Evidence is what callers, backend servers and the operator saw in a soak test.
@@ -19,6 +21,13 @@
 	// DrainAcknowledged maps each drained instance of a backend server to the time at which a node acknowledged
 	// that the instance drains.
 	DrainAcknowledged map[string]time.Time
+	// Notices are the answers in which instances said something about themselves, in their order.
+	Notices []Notice
+	// Crashes maps the body of each request that crashes backend servers to the times of the crashes.
+	Crashes map[string][]time.Time
+	// Starts are the starts of the nodes' processes, and AllKilled the times at which all were killed at once.
+	Starts    []Start
+	AllKilled []time.Time
 	// Probes are the requests to added routes, in the order in which they ended.
 	Probes []Probe
 	// Stops are the planned stops. UnexpectedExits describes the processes that ended without a signal, or that
@@ -36,6 +45,21 @@
 	From         time.Time
 }
 
+// Notice is an answer, written At, in which an instance said something about itself. Node is the index of the
+// node beside it.
+type Notice struct {
+	Instance string
+	Node     int
+	At       time.Time
+	Notice   dfpcall.Notice
+}
+
+// Start is the start of a node's process.
+type Start struct {
+	Node int
+	At   time.Time
+}
+
 // Probe is a request to a route that a configuration added.
 type Probe struct {
 	// Process identifies one process of a node: a restart of the node gives another one.
@@ -57,6 +81,17 @@
 	reorderTolerance = 250 * time.Millisecond
 	// minServedFraction is the fraction of calls that must complete after Evidence.RecoveryFrom.
 	minServedFraction = 0.25
+	// limitWindow is the time over which a named limit is checked, and limitSettle the time after the first answer
+	// that names it until it holds. In any window an instance may get limitOverage times what the limit allows
+	// and limitSlack requests more.
+	limitWindow  = 4 * time.Second
+	limitSettle  = time.Second
+	limitOverage = 1.5
+	limitSlack   = 5
+	// After maxCrashes crashes and crashSettle more, a request may reach backend servers maxCrashRepeats times.
+	maxCrashes      = 3
+	maxCrashRepeats = 3
+	crashSettle     = 3 * time.Second
 	// maxViolationsPerPromise is the maximum number of lines about one promise.
 	maxViolationsPerPromise = 4
 )
@@ -71,7 +106,7 @@
 	for _, c := range e.Calls {
 		ck.calls[c.ID] = c
 	}
-	for _, check := range []func(){ck.checkCalls, ck.checkRuns, ck.checkRates, ck.checkProbes, ck.checkStops, ck.checkRecovery} {
+	for _, check := range []func(){ck.checkCalls, ck.checkRuns, ck.checkRates, ck.checkNotices, ck.checkCrashes, ck.checkProbes, ck.checkStops, ck.checkRecovery} {
 		check()
 	}
 	for _, end := range e.UnexpectedExits {
@@ -164,6 +199,91 @@
 	}
 }
 
+// checkNotices checks that instances that say that they leave get no requests, and that instances that name a
+// limit get no more than that. A restart of the node beside an instance loses what only that node knew: a run
+// after it is not counted against leaving, and the slots of the instance are added to what a limit allows.
+func (ck *checker) checkNotices() {
+	runs := map[string][]time.Time{}
+	for _, r := range ck.Runs {
+		runs[r.Instance] = append(runs[r.Instance], r.At)
+	}
+	type limit struct {
+		instance string
+		rate     float64
+	}
+	leaving, limited := map[string]Notice{}, map[limit][]Notice{}
+	for _, n := range ck.Notices {
+		if _, known := leaving[n.Instance]; n.Notice.Leaving && !known {
+			leaving[n.Instance] = n
+		}
+		if n.Notice.Limited {
+			key := limit{n.Instance, n.Notice.Rate}
+			limited[key] = append(limited[key], n)
+		}
+	}
+	for instance, n := range leaving {
+		for _, at := range runs[instance] {
+			if at.Sub(n.At) > ck.Bounds.DrainWithin && ck.startsBetween(n.Node, n.At, at) == 0 {
+				ck.report("a backend server that says that it leaves gets no new work", "%s ran %v later", instance, at.Sub(n.At))
+			}
+		}
+	}
+	for l, named := range limited {
+		first, last := named[0].At.Add(limitSettle), named[len(named)-1].At
+		times := slices.Clone(runs[l.instance])
+		slices.SortFunc(times, time.Time.Compare)
+		for i, from := range times {
+			to := from.Add(limitWindow)
+			if from.Before(first) || to.After(last) {
+				continue
+			}
+			got := 0
+			for _, at := range times[i:] {
+				if at.Before(to) {
+					got++
+				}
+			}
+			starts := ck.startsBetween(named[0].Node, from.Add(-limitSettle), to)
+			allowed := limitOverage*l.rate*limitWindow.Seconds() + limitSlack + float64(slots*starts)
+			if float64(got) > allowed {
+				ck.report("a backend server gets no more than it names", "%s got %d in a window that allows %.1f", l.instance, got, allowed)
+			}
+		}
+	}
+}
+
+// startsBetween returns the number of starts of a node's process in a time.
+func (ck *checker) startsBetween(node int, from, to time.Time) int {
+	n := 0
+	for _, s := range ck.Starts {
+		if s.Node == node && !s.At.Before(from) && s.At.Before(to) {
+			n++
+		}
+	}
+	return n
+}
+
+// checkCrashes checks that a request that crashes backend servers is not sent to more and more of them. If all
+// nodes are killed at once, they may start to count anew.
+func (ck *checker) checkCrashes() {
+	for body, crashes := range ck.Crashes {
+		if len(crashes) < maxCrashes {
+			continue
+		}
+		bound := crashes[maxCrashes-1].Add(crashSettle)
+		later := 0
+		for _, r := range ck.Runs {
+			if r.Body == body && r.At.After(bound) {
+				later++
+			}
+		}
+		allowed := maxCrashRepeats + maxCrashes*len(ck.AllKilled)
+		if later > allowed {
+			ck.report("a request that crashes backend servers is refused", "%q reached them %d times after the third crash, allowed %d", body, later, allowed)
+		}
+	}
+}
+
 // limitAt returns the highest limit that may be in force at or after the given time, and whether there is one.
 func (ck *checker) limitAt(organisation string, at time.Time) (Limit, bool) {
 	var found Limit
--- a/internal/standin/dfpsoak/judge_test.go
+++ b/internal/standin/dfpsoak/judge_test.go
@@ -7,6 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"dragonflyport/internal/contract/dfpcall"
 	"dragonflyport/internal/standin/dfpsoak"
 )
 
@@ -30,11 +31,44 @@
 		e.Calls = []dfpsoak.Call{with(order, func(c *dfpsoak.Call) { c.AtMostOnce = false })}
 		return e
 	}
+	// limited is an instance that names a limit of one request a second for 20 s and gets n within one of them.
+	limited := func(n int, starts ...dfpsoak.Start) dfpsoak.Evidence {
+		e := dfpsoak.Evidence{Calls: []dfpsoak.Call{with(order, func(c *dfpsoak.Call) { c.AtMostOnce = false })}, Starts: starts}
+		for _, ms := range []int{0, 20_000} {
+			e.Notices = append(e.Notices, dfpsoak.Notice{Instance: "i-1", At: after(ms), Notice: dfpcall.Notice{Limited: true, Rate: 1}})
+		}
+		for range n {
+			e.Runs = append(e.Runs, ran(func(r *dfpsoak.Run) { r.At = after(10_000) }))
+		}
+		return e
+	}
+	leaving := []dfpsoak.Notice{{Instance: "i-1", At: after(0), Notice: dfpcall.Notice{Leaving: true}}}
+	lateRun := []dfpsoak.Run{ran(func(r *dfpsoak.Run) { r.At = after(3001) })}
+	// crashed is a request that has crashed three instances and reaches n more later.
+	crashed := func(n int) dfpsoak.Evidence {
+		e := dfpsoak.Evidence{
+			Calls:   []dfpsoak.Call{with(order, func(c *dfpsoak.Call) { c.AtMostOnce = false })},
+			Crashes: map[string][]time.Time{"crash": {after(0), after(10), after(20)}},
+		}
+		for range n {
+			e.Runs = append(e.Runs, ran(func(r *dfpsoak.Run) { r.At, r.Body = after(4000), "crash" }))
+		}
+		return e
+	}
 	for _, tc := range []struct {
 		name     string
 		evidence dfpsoak.Evidence
 		want     string
 	}{
+		{"over a named limit", limited(12), "no more than it names"},
+		{"within a named limit", limited(11), ""},
+		{"over a named limit, its node has restarted", limited(12, dfpsoak.Start{At: after(9500)}), ""},
+		{"run on a leaving instance", dfpsoak.Evidence{Calls: []dfpsoak.Call{order}, Runs: lateRun, Notices: leaving}, "says that it leaves"},
+		{"run on a leaving instance, its node has restarted", dfpsoak.Evidence{
+			Calls: []dfpsoak.Call{order}, Runs: lateRun, Notices: leaving, Starts: []dfpsoak.Start{{At: after(1000)}},
+		}, ""},
+		{"crashes go on", crashed(4), "crashes backend servers"},
+		{"crashes end", crashed(3), ""},
 		{"no violation", dfpsoak.Evidence{Calls: []dfpsoak.Call{order}, Runs: []dfpsoak.Run{run}}, ""},
 		{"ran twice", dfpsoak.Evidence{Calls: []dfpsoak.Call{order}, Runs: []dfpsoak.Run{run, run}}, "at most once"},
 		{"not run but ran", dfpsoak.Evidence{Calls: []dfpsoak.Call{notRun}, Runs: []dfpsoak.Run{run}}, "not run is true"},
--- a/internal/standin/dfpsoak/schedule.go
+++ b/internal/standin/dfpsoak/schedule.go
@@ -34,6 +34,9 @@
 	hangServer         kind = "the backend server hangs"
 	shedServer         kind = "the backend server refuses requests"
 	abortServer        kind = "the backend server closes connections without an answer"
+	limitServer        kind = "the backend server names a rate limit"
+	leaveServer        kind = "the backend server says that it leaves, and is replaced"
+	crashRequest       kind = "a request that crashes backend servers is repeated"
 	withdrawKey        kind = "a key is withdrawn"
 	lowerRate          kind = "a rate is lowered"
 	addRoute           kind = "a route is added"
@@ -70,6 +73,9 @@
 	{hangServer, 3, 300, 3000},
 	{shedServer, 3, 300, 3000},
 	{abortServer, 3, 300, 3000},
+	{limitServer, 4, 4500, 9000},
+	{leaveServer, 3, 0, 0},
+	{crashRequest, 2, 3000, 9000},
 	{withdrawKey, 3, 0, 0},
 	{lowerRate, 2, 0, 0},
 	{addRoute, 3, 0, 0},
--- a/internal/standin/dfpsoak/site.go
+++ b/internal/standin/dfpsoak/site.go
@@ -204,6 +204,9 @@
 	n.process, n.terminating = process, false
 	n.starts++
 	n.state.Unlock()
+	s.mu.Lock()
+	s.evidence.Starts = append(s.evidence.Starts, Start{n.index, time.Now()})
+	s.mu.Unlock()
 	s.group.Go(func() error {
 		select {
 		case <-s.ctx.Done():
