--- a/internal/link/dfpbackend/dfpbackend_test.go
+++ b/internal/link/dfpbackend/dfpbackend_test.go
@@ -119,6 +119,30 @@
 	}
 }
 
+// TestRefuses checks that only a refused connection counts as one, so that a crash is not assumed without cause.
+func TestRefuses(t *testing.T) {
+	listening, _ := rawServer(t)
+	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	assert.NilError(t, closed.Close())
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	for _, tc := range []struct {
+		name    string
+		ctx     context.Context
+		address string
+		want    bool
+	}{
+		{"listening", t.Context(), listening, false},
+		{"no process listens", t.Context(), closed.Addr().String(), true},
+		{"no time to ask", ended, closed.Addr().String(), false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			assert.Equal(t, newClient(t, dfpbackend.Config{}).Refuses(tc.ctx, tc.address), tc.want)
+		})
+	}
+}
+
 func TestHeadKeepsTheLengthOfItsAnswer(t *testing.T) {
 	address, _ := rawServer(t, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n")
 	client := newClient(t, dfpbackend.Config{})
