--- a/internal/vm/dfpinstance/dfpinstance.go
+++ b/internal/vm/dfpinstance/dfpinstance.go
@@ -1,4 +1,5 @@
-// Package dfpinstance tracks the newest instance of a backend server from its heartbeats.
+// Package dfpinstance tracks the newest instance of a backend server from its heartbeats, and what instances say
+// about themselves in their answers.
 //
 // A heartbeat may arrive seconds late, after a new instance has registered at the same address, or after a
 // later heartbeat of the same instance. Instances are ordered by their start time, and the heartbeats of one
@@ -10,8 +11,15 @@
 //	if tracker.Observe(heartbeat) && !tracker.Leaving() { ... }
 //	tracker.Deregister("i-7f3a91c2")
 //
-// A Tracker has no clock and does no I/O. It is not safe for concurrent use. Its zero value knows no
-// instance.
+//	var notices dfpinstance.Notices // Of one instance, at the node beside it.
+//	if notices.Observe(now, sent, notice) { apply(notices.Current()) }
+//
+//	var peers dfpinstance.PeerNotices // Of all other instances, as their nodes report them.
+//	peers.Observe(now, address, incarnation, reported)
+//	request.Known = peers.Known(now, address)
+//
+// The types have no clock and do no I/O. They are not safe for concurrent use. The zero value of a Tracker
+// knows no instance.
 package dfpinstance
 
 // Heartbeat is a periodic report of a backend server on itself.
