Quarantine: crashes of one request that lie minutes apart are counted

Single crashes were forgotten after two minutes, so a request that came every few minutes went on crashing one server each time; and with 4,096 suspects no new one was taken. They are kept for an hour, and room is made among those that are not quarantined, oldest first. Nodes repeat to each other only what is quarantined or recent. TestSeldomCrashesAreCounted failed before (not blocked) and passes. Found by reading.

--- a/internal/zone/dfpquarantine/dfpquarantine.go
+++ b/internal/zone/dfpquarantine/dfpquarantine.go
@@ -41,10 +41,11 @@
 	// QuarantineTime is how long a request is quarantined after its last crash. The next crash after it
 	// quarantines the request again.
 	QuarantineTime = 10 * time.Minute
-	// suspectTime is how long crashes count that have not led to a quarantine.
-	suspectTime = 2 * time.Minute
-	// retentionTime is how long a quarantined request is remembered after its last crash.
-	retentionTime = 6 * QuarantineTime
+	// retentionTime is how long a request is remembered after its last crash. A request may come seldom and crash a
+	// server each time.
+	retentionTime = time.Hour
+	// repeatTime is how long nodes repeat to each other what has not led to a quarantine.
+	repeatTime = 2 * time.Minute
 	// maxRecords bounds the records of a Registry and maxSuspects the suspects of one crash.
 	maxRecords  = 4096
 	maxSuspects = 256
@@ -102,14 +103,6 @@
 // counted returns the number of crashes that count.
 func (r *record) counted() int { return countCrashes(r.crashed, r.refuted) }
 
-// lifetime returns how long the record is kept after its last crash.
-func (r *record) lifetime() time.Duration {
-	if r.counted() >= MaxCrashes {
-		return retentionTime
-	}
-	return suspectTime
-}
-
 // Registry holds the records of one node. The zero value is empty.
 type Registry struct{ records map[Fingerprint]*record }
 
@@ -169,25 +162,37 @@
 	if last := now.Add(-time.Duration(max(told.AgeMs, 0)) * time.Millisecond); len(rec.crashed) > known && last.After(rec.lastCrash) {
 		rec.lastCrash = last
 	}
-	if now.Sub(rec.lastCrash) > rec.lifetime() {
+	if now.Sub(rec.lastCrash) > retentionTime {
 		delete(r.records, told.Fingerprint)
 	}
 }
 
-// makeRoom makes room for one record and reports whether there is some.
+// makeRoom makes room for one record: if there is none, it drops the older half of those that are not
+// quarantined. It reports whether there is room.
 func (r *Registry) makeRoom(now time.Time) bool {
 	if r.records == nil {
 		r.records = make(map[Fingerprint]*record)
 	}
-	if len(r.records) >= maxRecords {
-		r.expire(now)
+	if len(r.records) < maxRecords {
+		return true
+	}
+	r.expire(now)
+	var droppable []Fingerprint
+	for f, rec := range r.records {
+		if rec.counted() < MaxCrashes {
+			droppable = append(droppable, f)
+		}
+	}
+	slices.SortFunc(droppable, func(a, b Fingerprint) int { return r.records[a].lastCrash.Compare(r.records[b].lastCrash) })
+	for _, f := range droppable[:(len(droppable)+1)/2] {
+		delete(r.records, f)
 	}
 	return len(r.records) < maxRecords
 }
 
 func (r *Registry) expire(now time.Time) {
 	for f, rec := range r.records {
-		if now.Sub(rec.lastCrash) > rec.lifetime() {
+		if now.Sub(rec.lastCrash) > retentionTime {
 			delete(r.records, f)
 		}
 	}
@@ -217,13 +222,14 @@
 	return left, left > 0
 }
 
-// Summary returns what to tell a node that may not know it: the requests with two crashes or more, also refuted
-// ones. It returns false if there are none.
+// Summary returns what to tell a node that may not know it: the quarantined requests, and those with two crashes
+// or more, also refuted ones, for some time after the last. It returns false if there are none.
 func (r *Registry) Summary(now time.Time) (Message, bool) {
 	r.expire(now)
 	var msg Message
 	for f, rec := range r.records {
-		if len(rec.crashed) > 1 {
+		recent := len(rec.crashed) > 1 && now.Sub(rec.lastCrash) <= repeatTime
+		if recent || rec.counted() >= MaxCrashes {
 			msg.Records = append(msg.Records, rec.message(now, f))
 		}
 	}
--- a/internal/zone/dfpquarantine/dfpquarantine_test.go
+++ b/internal/zone/dfpquarantine/dfpquarantine_test.go
@@ -118,6 +118,41 @@
 	assert.Assert(t, changed && !blocked(dfpquarantine.QuarantineTime+time.Second, culprit))
 }
 
+// TestSeldomCrashesAreCounted guards against a request that comes so seldom that its crashes are forgotten, also
+// when many other requests are suspected meanwhile.
+func TestSeldomCrashesAreCounted(t *testing.T) {
+	const culprit = dfpquarantine.Fingerprint(1)
+	var r dfpquarantine.Registry
+	now := epoch
+	others := dfpquarantine.Fingerprint(100)
+	for i := range dfpquarantine.MaxCrashes {
+		r.RecordCrash(now, fmt.Sprint("i-", i), []dfpquarantine.Fingerprint{culprit})
+		for crash := range 10 {
+			now = now.Add(time.Minute)
+			suspects := make([]dfpquarantine.Fingerprint, 100)
+			for k := range suspects {
+				others++
+				suspects[k] = others
+			}
+			r.RecordCrash(now, fmt.Sprint("other-", i, crash), suspects)
+			r.Summary(now)
+		}
+	}
+	_, blocked := r.Blocked(now.Add(-5*time.Minute), culprit)
+	assert.Assert(t, blocked)
+	for range 100 { // Room is made for new ones, and the quarantined one stays.
+		suspects := make([]dfpquarantine.Fingerprint, 100)
+		for k := range suspects {
+			others++
+			suspects[k] = others
+		}
+		msg := r.RecordCrash(now, fmt.Sprint("more-", others), suspects)
+		assert.Equal(t, len(msg.Records), len(suspects))
+	}
+	_, blocked = r.Blocked(now.Add(-5*time.Minute), culprit)
+	assert.Assert(t, blocked)
+}
+
 // TestRegistriesConverge guards against a node that does not learn of a quarantine: whatever messages are lost,
 // repeated or reordered, summaries bring all registries to the same verdict, and age does not grow or shrink
 // by their number.
