Quarantine: a large backend server's crash leaves no suspect out, and messages fit a frame

A crash named 256 suspects at most, so the culprit on a server with more requests in progress could be left out; and a summary could hold more records than links accept. TestManySuspects failed before (256 of 1,000 named). Found by reading.

--- a/internal/zone/dfpquarantine/dfpquarantine.go
+++ b/internal/zone/dfpquarantine/dfpquarantine.go
@@ -27,6 +27,7 @@
 package dfpquarantine
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"time"
@@ -46,9 +47,9 @@
 	retentionTime = time.Hour
 	// repeatTime is how long nodes repeat to each other what has not led to a quarantine.
 	repeatTime = 2 * time.Minute
-	// maxRecords bounds the records of a Registry and maxSuspects the suspects of one crash.
-	maxRecords  = 4096
-	maxSuspects = 256
+	// maxRecords bounds the records of a Registry, and maxMessageRecords those that a message tells.
+	maxRecords        = 16384
+	maxMessageRecords = 1024
 	// maxCrashesKept bounds the crashes in a record.
 	maxCrashesKept = 64
 )
@@ -114,7 +115,7 @@
 func (r *Registry) RecordCrash(now time.Time, instance string, suspects []Fingerprint) Message {
 	crashed := []uint64{xxhash.Sum64String(instance)}
 	var changed Message
-	for _, f := range suspects[:min(len(suspects), maxSuspects)] {
+	for _, f := range suspects[:min(len(suspects), maxMessageRecords)] {
 		r.merge(now, Record{Fingerprint: f, Crashed: crashed})
 		if rec, ok := r.records[f]; ok {
 			changed.Records = append(changed.Records, rec.message(now, f))
@@ -136,7 +137,7 @@
 // Merge records what another node knows. It returns the requests that are quarantined by it.
 func (r *Registry) Merge(now time.Time, msg Message) []Fingerprint {
 	var quarantined []Fingerprint
-	for _, told := range msg.Records[:min(len(msg.Records), maxRecords)] {
+	for _, told := range msg.Records[:min(len(msg.Records), maxMessageRecords)] {
 		_, before := r.Blocked(now, told.Fingerprint)
 		r.merge(now, told)
 		if _, after := r.Blocked(now, told.Fingerprint); after && !before {
@@ -223,7 +224,8 @@
 }
 
 // Summary returns what to tell a node that may not know it: the quarantined requests, and those with two crashes
-// or more, also refuted ones, for some time after the last. It returns false if there are none.
+// or more, also refuted ones, for some time after the last; of too many, the latest. It returns false if there are
+// none.
 func (r *Registry) Summary(now time.Time) (Message, bool) {
 	r.expire(now)
 	var msg Message
@@ -233,5 +235,11 @@
 			msg.Records = append(msg.Records, rec.message(now, f))
 		}
 	}
+	if len(msg.Records) > maxMessageRecords {
+		slices.SortFunc(msg.Records, func(a, b Record) int {
+			return cmp.Or(cmp.Compare(a.AgeMs, b.AgeMs), cmp.Compare(a.Fingerprint, b.Fingerprint))
+		})
+		msg.Records = msg.Records[:maxMessageRecords]
+	}
 	return msg, len(msg.Records) > 0
 }
--- a/internal/zone/dfpquarantine/dfpquarantine_test.go
+++ b/internal/zone/dfpquarantine/dfpquarantine_test.go
@@ -140,7 +140,7 @@
 	}
 	_, blocked := r.Blocked(now.Add(-5*time.Minute), culprit)
 	assert.Assert(t, blocked)
-	for range 100 { // Room is made for new ones, and the quarantined one stays.
+	for range 200 { // Room is made for new ones, and the quarantined one stays.
 		suspects := make([]dfpquarantine.Fingerprint, 100)
 		for k := range suspects {
 			others++
@@ -153,6 +153,30 @@
 	assert.Assert(t, blocked)
 }
 
+// TestManySuspects guards against a culprit that is left out because a large backend server was running many
+// requests, and against messages that are too long for a frame of a link.
+func TestManySuspects(t *testing.T) {
+	const requests, maxElements = 1000, 4096
+	suspects := make([]dfpquarantine.Fingerprint, requests)
+	for i := range suspects {
+		suspects[i] = dfpquarantine.Fingerprint(i + 1)
+	}
+	var r dfpquarantine.Registry
+	for i := range dfpquarantine.MaxCrashes {
+		assert.Equal(t, len(r.RecordCrash(epoch, fmt.Sprint("i-", i), suspects).Records), requests)
+	}
+	_, blocked := r.Blocked(epoch, requests)
+	assert.Assert(t, blocked)
+	for i := range requests {
+		for j := range 5 {
+			r.RecordCrash(epoch, fmt.Sprint("other-", i%2), []dfpquarantine.Fingerprint{dfpquarantine.Fingerprint(10_000 + 5*i + j)})
+			r.RecordCrash(epoch, fmt.Sprint("another-", i%2), []dfpquarantine.Fingerprint{dfpquarantine.Fingerprint(10_000 + 5*i + j)})
+		}
+	}
+	msg, some := r.Summary(epoch)
+	assert.Assert(t, some && len(msg.Records) <= maxElements, "%d records", len(msg.Records))
+}
+
 // TestRegistriesConverge guards against a node that does not learn of a quarantine: whatever messages are lost,
 // repeated or reordered, summaries bring all registries to the same verdict, and age does not grow or shrink
 // by their number.
