Guard: nested calls beyond named limits raise the level at which entries admit their roots

Where many servers of a deep service name limits of a few requests a second, its guards refused nested calls whose roots had begun: 125 for 80 served at four times the limit in TestNestedCallsBeyondNamedLimit, which failed, low importance admitted beside high. Cause: the wait controller goes by the waiting time, and the queue under such a limit is too short to show it; and it lowered the level by idle slots, which under a limit show nothing. A refusal for the limit counts as the largest deviation now, and the queue holds 0.3 s: 14 refused for 80 served, none of low importance admitted. One limited server sheds no route, since entries go by the mean of the levels met. Nothing changes without a limit.

--- a/internal/vm/dfpguard/guard.go
+++ b/internal/vm/dfpguard/guard.go
@@ -160,6 +160,7 @@
 		victim, ok := g.queue.displace(req)
 		if !ok {
 			g.admission.recordOverflow(req.Importance)
+			g.waitControl.refused = g.rate.limited
 			return g.refuse(dfpcall.ReasonOverload)
 		}
 		g.admission.recordOverflow(victim.Importance)
@@ -260,7 +261,7 @@
 	if g.cfg.Mode == ModeAdaptive {
 		g.limiter.advance(g.now)
 		if g.cfg.QueueNested {
-			g.waitControl.advance(g.now, g.cfg.Window, g.slotDelay(g.queue.len()), float64(len(g.running))/float64(g.limit()))
+			g.waitControl.advance(g.now, g.cfg.Window, g.slotDelay(g.queue.len()), g.usage())
 		}
 		g.admission.advance(g.now, g.window(), g.queue, g.queueLimit())
 		if g.cfg.QueueNested {
@@ -274,6 +275,18 @@
 	g.dispatch(effects)
 }
 
+// usage returns the fraction of the slots in use. Under a limit that the backend server names, idle slots show
+// nothing: it is all while the limit is used up, and else so much that the level falls slowly.
+func (g *Guard) usage() float64 {
+	switch {
+	case !g.rate.allows():
+		return 1
+	case g.rate.limited:
+		return busyFraction
+	}
+	return float64(len(g.running)) / float64(g.limit())
+}
+
 func (g *Guard) dispatch(effects *Effects) {
 	for g.free() {
 		req, ok := g.queue.pop()
--- a/internal/vm/dfpguard/rate.go
+++ b/internal/vm/dfpguard/rate.go
@@ -22,7 +22,7 @@
 	// that names a limit of none at all still gets a request now and then.
 	minRate = 0.25
 	// maxRateWait bounds the queue of a backend server with a limit, in time at the limit.
-	maxRateWait = 200 * time.Millisecond
+	maxRateWait = 300 * time.Millisecond
 )
 
 // advance adds the tokens of the time since the last call.
--- a/internal/vm/dfpguard/steer.go
+++ b/internal/vm/dfpguard/steer.go
@@ -9,6 +9,9 @@
 type waitController struct {
 	level      float64
 	lastUpdate time.Time
+	// refused is set if a call was refused since the last update, for a limit that the backend server names. The
+	// queue is then too short for the waiting time to tell how many calls are beyond the limit.
+	refused bool
 }
 
 const (
@@ -43,6 +46,9 @@
 	c.lastUpdate = now
 	elapsed := min(age, 2*window).Seconds()
 	deviation := min(float64(waiting)/float64(targetWait)-1, maxWaitError)
+	if c.refused {
+		deviation, c.refused = maxWaitError, false
+	}
 	if deviation < 0 {
 		if usage > busyFraction {
 			return
--- a/internal/vm/dfpguard/steer_test.go
+++ b/internal/vm/dfpguard/steer_test.go
@@ -115,3 +115,38 @@
 	d.run(d.now.Add(2*time.Second), capacity/2)
 	assert.Equal(t, d.lowAdmitted, d.lowTotal, "all are admitted again after the surge")
 }
+
+// TestNestedCallsBeyondNamedLimit runs four times the requests that a service of nested calls takes by the limit
+// that it names. The requests beyond it must be refused at the entry nodes, before work is spent on them, and
+// not when their nested call arrives; the important ones last.
+func TestNestedCallsBeyondNamedLimit(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		// limit is in requests a second.
+		limit int
+	}{
+		{"a quarter of the capacity", 60},
+		{"a few requests a second", 8},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			d := &nestedService{
+				guard: newGuard(dfpguard.Config{Slots: nestedSlots, RampTime: -1, QueueNested: true, SlotsFraction: 1}),
+				now:   epoch, running: map[dfpguard.Handle]time.Time{},
+			}
+			d.apply(d.guard.SetRateLimit(d.now, true, float64(tc.limit)))
+			d.run(d.now.Add(4*time.Second), 4*tc.limit)
+			*d = nestedService{guard: d.guard, now: d.now, next: d.next, running: d.running}
+			d.run(d.now.Add(10*time.Second), 4*tc.limit)
+			t.Logf("%d served, %d nested calls refused; high %d of %d, low %d of %d", d.served, d.refused, d.highAdmitted, d.highTotal, d.lowAdmitted, d.lowTotal)
+			assert.Assert(t, float64(d.served) > 0.8*10*float64(tc.limit), "%d served", d.served)
+			assert.Assert(t, d.refused < d.served/5, "%d nested calls refused", d.refused)
+			assert.Assert(t, d.lowAdmitted*d.highTotal < d.highAdmitted*d.lowTotal)
+
+			d.apply(d.guard.SetRateLimit(d.now, false, 0))
+			d.run(d.now.Add(3*time.Second), 2*tc.limit)
+			*d = nestedService{guard: d.guard, now: d.now, next: d.next, running: d.running}
+			d.run(d.now.Add(2*time.Second), 2*tc.limit)
+			assert.Equal(t, d.lowAdmitted, d.lowTotal, "all are admitted again after the limit has ended")
+		})
+	}
+}
