Quarantine: the end of one instance is not blamed on the requests of the next

A request that still meant the instance before could be refused late, by the next one at its address; then the requests on the next one were counted as suspects of a crash that was not theirs, and forgotten for one that might be. A Watch follows one instance and ignores what is about another. TestWatchOfNextInstance holds it; the old Watch had no instance, so the test does not compile against it. Found by reading.

--- a/internal/vm/dfpnode/dfpnode_crash.go
+++ b/internal/vm/dfpnode/dfpnode_crash.go
@@ -24,10 +24,10 @@
 }
 
 // start records that a request is sent to the backend server.
-func (c *crashLoop) start(handle uint64, f dfpquarantine.Fingerprint) {
+func (c *crashLoop) start(backend Announcement, handle uint64, f dfpquarantine.Fingerprint) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.watch.Start(handle, f)
+	c.watch.Start(backend.identity(), handle, f)
 }
 
 // finish records how the request ended. If the backend server has broken it off, finish returns only after it
@@ -74,18 +74,30 @@
 	return ok && unknown.Reason == dfpcall.ReasonBackendFailed
 }
 
-// crashed is called when the process of the backend server is known to have ended.
+// crashed is called when a process of the backend server is known to have ended.
 func (c *crashLoop) crashed(backend Announcement) {
-	now := time.Now()
 	c.mu.Lock()
-	suspects := c.watch.Crashed(now)
+	suspects := c.watch.Crashed(time.Now(), backend.identity())
 	c.mu.Unlock()
+	c.record(backend, suspects)
+}
+
+// replace is called when a process is announced, and returns the requests under which the one before may have
+// crashed, if it was another one.
+func (c *crashLoop) replace(announced Announcement) []dfpquarantine.Fingerprint {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.watch.Replace(time.Now(), announced.identity())
+}
+
+// record records a crash under the suspects, if there are any.
+func (c *crashLoop) record(backend Announcement, suspects []dfpquarantine.Fingerprint) {
 	if len(suspects) == 0 {
 		return
 	}
 	c.n.quarantine.recordCrash(suspects)
 	c.n.metrics.backendCrashes.Add(1)
-	dfpevent.Write(c.n.journal, now, func() *dfpevent.Crash {
+	dfpevent.Write(c.n.journal, time.Now(), func() *dfpevent.Crash {
 		return &dfpevent.Crash{Instance: backend.Instance, Service: backend.Service, Suspects: len(suspects)}
 	})
 }
--- a/internal/vm/dfpnode/dfpnode_guard.go
+++ b/internal/vm/dfpnode/dfpnode_guard.go
@@ -93,6 +93,7 @@
 	g.mu.Lock()
 	changed := g.backend != announced || g.expires.IsZero()
 	before := g.backend
+	suspects := n.crashes.replace(announced)
 	if before.identity() != announced.identity() {
 		g.resetNotices()
 		g.draining = g.draining && n.stopping.Load()
@@ -106,10 +107,8 @@
 	if !changed {
 		return
 	}
+	n.crashes.record(before, suspects)
 	n.guard.logBackend(announced, n.guard.readiness())
-	if before.identity() != announced.identity() {
-		n.crashes.crashed(before)
-	}
 	n.roster.updateSelf(func(vm *dfpvm.VM) {
 		vm.Service, vm.BackendAddress, vm.Slots = announced.Service, announced.Address, announced.Slots
 		vm.Draining = g.isDraining()
@@ -243,7 +242,7 @@
 		req.Timeout = time.Until(deadline)
 	}
 	fingerprint := dfpquarantine.FingerprintOf(req)
-	n.crashes.start(uint64(handle), fingerprint)
+	n.crashes.start(backend, uint64(handle), fingerprint)
 	out, notice := n.backend.Run(ctx, backend.Address, req, token)
 	n.crashes.finish(uint64(handle), backend, out)
 	if _, answered := out.(*dfpcall.Answer); answered {
--- a/internal/zone/dfpquarantine/dfpquarantine.go
+++ b/internal/zone/dfpquarantine/dfpquarantine.go
@@ -14,9 +14,9 @@
 //
 // # Usage
 //
-//	watch.Start(handle, dfpquarantine.FingerprintOf(req))
+//	watch.Start(instance, handle, dfpquarantine.FingerprintOf(req))
 //	watch.Finish(now, handle, dfpquarantine.EndedUnanswered)
-//	if suspects := watch.Crashed(now); len(suspects) > 0 {
+//	if suspects := watch.Crashed(now, instance); len(suspects) > 0 {
 //		send(registry.RecordCrash(now, instance, suspects)) // To all nodes, which pass it to Merge.
 //	}
 //	if left, blocked := registry.Blocked(now, fingerprint); blocked {
--- a/internal/zone/dfpquarantine/dfpquarantine_test.go
+++ b/internal/zone/dfpquarantine/dfpquarantine_test.go
@@ -52,45 +52,60 @@
 		want []dfpquarantine.Fingerprint
 	}{
 		{"idle", func(*dfpquarantine.Watch) {}, nil},
-		{"in progress", func(w *dfpquarantine.Watch) { w.Start(2, 20) }, []dfpquarantine.Fingerprint{10, 20}},
+		{"in progress", func(w *dfpquarantine.Watch) { w.Start("i-1", 2, 20) }, []dfpquarantine.Fingerprint{10, 20}},
 		{"answered", func(w *dfpquarantine.Watch) { w.Finish(at(900), 1, dfpquarantine.EndedAnswered) }, nil},
 		{"broken off by the crash", func(w *dfpquarantine.Watch) { w.Finish(at(990), 1, dfpquarantine.EndedUnanswered) }, []dfpquarantine.Fingerprint{10}},
 		{"not sent", func(w *dfpquarantine.Watch) { w.Finish(at(990), 1, dfpquarantine.EndedUnsent) }, nil},
 		{"broken off before an answer", func(w *dfpquarantine.Watch) {
 			w.Finish(at(500), 1, dfpquarantine.EndedUnanswered)
-			w.Start(2, 20)
+			w.Start("i-1", 2, 20)
 			w.Finish(at(900), 2, dfpquarantine.EndedAnswered)
 		}, nil},
 		{"an answer that is seen just after the crash", func(w *dfpquarantine.Watch) {
-			w.Start(2, 20)
+			w.Start("i-1", 2, 20)
 			w.Finish(at(980), 1, dfpquarantine.EndedUnanswered)
 			w.Finish(at(990), 2, dfpquarantine.EndedAnswered)
 		}, []dfpquarantine.Fingerprint{10}},
 		{"broken off long ago", func(w *dfpquarantine.Watch) { w.Finish(at(-60_000), 1, dfpquarantine.EndedUnanswered) }, nil},
 		{"in progress, and answered before by the same instance", func(w *dfpquarantine.Watch) {
-			w.Start(2, 10)
+			w.Start("i-1", 2, 10)
 			w.Finish(at(100), 2, dfpquarantine.EndedAnswered)
 		}, nil},
 		{"in progress, and refused before", func(w *dfpquarantine.Watch) {
-			w.Start(2, 10)
+			w.Start("i-1", 2, 10)
 			w.Finish(at(100), 2, dfpquarantine.EndedRefused)
 		}, []dfpquarantine.Fingerprint{10}},
-		{"twice in progress", func(w *dfpquarantine.Watch) { w.Start(2, 10) }, []dfpquarantine.Fingerprint{10}},
+		{"twice in progress", func(w *dfpquarantine.Watch) { w.Start("i-1", 2, 10) }, []dfpquarantine.Fingerprint{10}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			var w dfpquarantine.Watch
+			w.Replace(epoch, "i-1")
 			if tc.name != "idle" {
-				w.Start(1, 10)
+				w.Start("i-1", 1, 10)
 			}
 			tc.do(&w)
-			got := w.Crashed(at(1000))
+			got := w.Crashed(at(1000), "i-1")
 			slices.Sort(got)
 			assert.DeepEqual(t, got, tc.want)
-			assert.Equal(t, len(w.Crashed(at(1010))), 0, "the next crash has suspects of its own")
+			assert.Equal(t, len(w.Crashed(at(1010), "i-1")), 0, "the next crash has suspects of its own")
 		})
 	}
 }
 
+// TestWatchOfNextInstance guards against blaming the requests on an instance for the end of the one before it,
+// which a request that was still meant for that one may show late.
+func TestWatchOfNextInstance(t *testing.T) {
+	var w dfpquarantine.Watch
+	assert.Equal(t, len(w.Replace(epoch, "i-1")), 0)
+	w.Start("i-1", 1, 10)
+	assert.DeepEqual(t, w.Replace(epoch, "i-2"), []dfpquarantine.Fingerprint{10})
+	w.Start("i-2", 2, 20)
+	w.Start("i-1", 3, 30)
+	assert.Equal(t, len(w.Crashed(epoch, "i-1")), 0)
+	assert.Equal(t, len(w.Replace(epoch, "i-2")), 0, "announced again")
+	assert.DeepEqual(t, w.Crashed(epoch, "i-2"), []dfpquarantine.Fingerprint{20})
+}
+
 // TestQuarantine checks when a request is quarantined, and until when.
 func TestQuarantine(t *testing.T) {
 	const culprit, victim = dfpquarantine.Fingerprint(1), dfpquarantine.Fingerprint(2)
--- a/internal/zone/dfpquarantine/watch.go
+++ b/internal/zone/dfpquarantine/watch.go
@@ -19,6 +19,7 @@
 // it alive. A request that this instance has answered before is not the cause; it would otherwise be suspected
 // whenever many servers end at once, if many callers send it. The zero value follows none.
 type Watch struct {
+	instance   string
 	running    map[uint64]Fingerprint
 	unanswered []unanswered
 	// answeredAt is the time of the last answer, and answered holds recent answers' requests by their hash.
@@ -35,8 +36,23 @@
 	at          time.Time
 }
 
-// Start records that the request with a handle is sent to the backend server.
-func (w *Watch) Start(handle uint64, f Fingerprint) {
+// Replace records that an instance has taken the place of the one before, if that is another one, and returns
+// the requests that the one before may have been running.
+func (w *Watch) Replace(now time.Time, instance string) []Fingerprint {
+	if instance == w.instance {
+		return nil
+	}
+	suspects := w.Crashed(now, w.instance)
+	w.instance = instance
+	return suspects
+}
+
+// Start records that the request with a handle is sent to an instance. It ignores requests for an instance that
+// has been replaced.
+func (w *Watch) Start(instance string, handle uint64, f Fingerprint) {
+	if instance != w.instance {
+		return
+	}
 	if w.running == nil {
 		w.running = make(map[uint64]Fingerprint)
 	}
@@ -79,9 +95,12 @@
 	}
 }
 
-// Crashed records that the backend server has crashed, and returns the requests that it may have been running.
-// Requests that started earlier no longer belong to the next instance.
-func (w *Watch) Crashed(now time.Time) []Fingerprint {
+// Crashed records that an instance has crashed, and returns the requests that it may have been running. It
+// returns none if the instance has been replaced.
+func (w *Watch) Crashed(now time.Time, instance string) []Fingerprint {
+	if instance != w.instance {
+		return nil
+	}
 	var suspects []Fingerprint
 	add := func(f Fingerprint) {
 		if proven := w.answered != nil && w.answered[f%answeredSlots] == f; !proven && !slices.Contains(suspects, f) {
@@ -96,6 +115,6 @@
 	for _, f := range w.running {
 		add(f)
 	}
-	*w = Watch{}
+	*w = Watch{instance: instance}
 	return suspects
 }
