Routing: servers that name a limit leave work to others, in other regions too

Cause: a limited server's short queue raises the level that its guard reports, and routers keep calls in a region whose servers refuse by level, as in an overload; refusals for the limit also used up a request's three attempts. Ruled out: the chain's mean level (refusals there are of calls that the router never sent) and retries alone (the case of two limited servers in each zone passed).

Refusals beyond a named limit have a reason of their own, backend_server_limit. They are no attempts; the router leaves the VM out until its Retry-After and treats a limited VM that refuses by level as absent, so calls spill and cross; a refusal for lack of others carries the lowest level met, so roots of nested calls are still shed at entries.

--- a/internal/contract/dfpcall/dfpcall.go
+++ b/internal/contract/dfpcall/dfpcall.go
@@ -255,6 +255,8 @@
 	ReasonClaimsFull         Reason = "claims_full"
 	ReasonRepeatOfUnknown    Reason = "repeat_of_unknown"
 	ReasonAnswerNotKept      Reason = "ran_before_answer_not_kept"
+	// ReasonServerLimit refuses a request beyond the rate that the backend server names; others may have room.
+	ReasonServerLimit Reason = "backend_server_limit"
 	// ReasonQuarantined refuses a request that has crashed several backend servers.
 	ReasonQuarantined Reason = "quarantined"
 )
--- a/internal/contract/dfpretry/dfpretry.go
+++ b/internal/contract/dfpretry/dfpretry.go
@@ -115,7 +115,7 @@
 // retryable reports whether another backend server may accept a request refused for this reason.
 func retryable(reason dfpcall.Reason) bool {
 	switch reason {
-	case dfpcall.ReasonOverload, dfpcall.ReasonDraining, dfpcall.ReasonLinkLost,
+	case dfpcall.ReasonOverload, dfpcall.ReasonServerLimit, dfpcall.ReasonDraining, dfpcall.ReasonLinkLost,
 		dfpcall.ReasonNoBackendServer, dfpcall.ReasonBackendFailed:
 		return true
 	}
--- a/internal/vm/dfpguard/guard.go
+++ b/internal/vm/dfpguard/guard.go
@@ -114,7 +114,7 @@
 		return g.start(req)
 	}
 	if g.queue.len() >= g.queueLimit() {
-		return g.refuse(dfpcall.ReasonOverload)
+		return g.refuse(g.fullReason())
 	}
 	g.queue.push(withoutOrder(req))
 	return wait
@@ -161,15 +161,23 @@
 		if !ok {
 			g.admission.recordOverflow(req.Importance)
 			g.waitControl.refused = g.rate.limited
-			return g.refuse(dfpcall.ReasonOverload)
+			return g.refuse(g.fullReason())
 		}
 		g.admission.recordOverflow(victim.Importance)
-		effects.Refuse = append(effects.Refuse, g.refusal(victim.Handle, dfpcall.ReasonOverload))
+		effects.Refuse = append(effects.Refuse, g.refusal(victim.Handle, g.fullReason()))
 	}
 	g.queue.push(req)
 	return wait
 }
 
+// fullReason returns why a request is refused when the queue is full.
+func (g *Guard) fullReason() dfpcall.Reason {
+	if g.rate.limited {
+		return dfpcall.ReasonServerLimit
+	}
+	return dfpcall.ReasonOverload
+}
+
 // mayAdmit reports whether a request is admitted by the admission level or by one of two exceptions. A free
 // slot also goes to requests of the importance at which the level stands, but not to less important ones.
 // And a request is admitted while a less important one waits: requests queued before the level rose must not
--- a/internal/vm/dfpguard/rate.go
+++ b/internal/vm/dfpguard/rate.go
@@ -67,7 +67,7 @@
 	for g.queue.len() > g.queueLimit() {
 		victim := g.queue.popLast()
 		g.admission.recordOverflow(victim.Importance)
-		effects.Refuse = append(effects.Refuse, g.refusal(victim.Handle, dfpcall.ReasonOverload))
+		effects.Refuse = append(effects.Refuse, g.refusal(victim.Handle, dfpcall.ReasonServerLimit))
 	}
 	return effects
 }
--- a/internal/vm/dfpnode/dfpnode_route.go
+++ b/internal/vm/dfpnode/dfpnode_route.go
@@ -26,6 +26,9 @@
 		started := time.Now()
 		out, address := n.attempt(ctx, req, tried)
 		req.AttemptLog = append(req.AttemptLog, dfpcall.Attempt{VM: address, Took: time.Since(started), Outcome: out})
+		if notRun, refused := out.(*dfpcall.NotRun); refused && notRun.Reason == dfpcall.ReasonServerLimit {
+			attempt-- // The retry budget alone bounds how many limited backend servers are asked.
+		}
 		decision, ok := dfpretry.Decide(out, req.Idempotent, dfpretry.BudgetOf(out), attempt).(*dfpretry.Retry)
 		if !ok || address == "" || ctx.Err() != nil {
 			return out
@@ -90,6 +93,10 @@
 		result.Inconclusive = out.NestedFailed
 		result.Bytes += len(out.Body)
 	case *dfpcall.NotRun:
+		if out.Reason == dfpcall.ReasonServerLimit {
+			result.Inconclusive, result.LimitedFor = true, out.RetryAfter
+			break
+		}
 		if out.ReachedBackend {
 			result.Failed = true // The guard admitted the request, but the backend server refused it.
 			break
--- a/internal/zone/dfproute/dfproute.go
+++ b/internal/zone/dfproute/dfproute.go
@@ -146,6 +146,8 @@
 	// Inconclusive reports that the outcome says nothing about the backend server: its
 	// guard refused the call, the caller cancelled it, or a call nested in it failed.
 	Inconclusive bool
+	// LimitedFor is how long the VM refuses calls, if it refused this one for a rate that its backend server names.
+	LimitedFor time.Duration
 	// Bytes is the size of request and answer together.
 	Bytes int
 }
--- a/internal/zone/dfproute/router.go
+++ b/internal/zone/dfproute/router.go
@@ -152,7 +152,7 @@
 		return &Refusal{Reason: dfpcall.ReasonNoBackendServer, RetryAfter: jitter(rnd, noServerRetryAfter)}
 	}
 	local, tier := r.drawRegion(now, rnd, s, &q)
-	refusing, level := local.refusing, local.level
+	refusing, level, limited := local.refusing, local.level, local.limited
 	if r.mayCrossRegion(local) {
 		if d := r.drawTier(now, rnd, s, tierCrossRegion, &q); d.best != nil && d.score < local.score && (local.best == nil || d.score < roomScore) {
 			if reserved, ok := r.crossRegion.reserve(now, q.Importance, s.stats.expectedBytes()); ok {
@@ -160,7 +160,7 @@
 			}
 			refusing = true
 		} else {
-			refusing, level = refusing || d.refusing, min(level, d.level)
+			refusing, level, limited = refusing || d.refusing, min(level, d.level), min(limited, d.limited)
 		}
 	}
 	if local.best != nil {
@@ -169,6 +169,9 @@
 	if refusing {
 		return &Refusal{Reason: dfpcall.ReasonOverload, RetryAfter: jitter(rnd, overloadRetryAfter), Level: level % dfpcall.MaxLevel}
 	}
+	if limited < dfpcall.MaxLevel {
+		return &Refusal{Reason: dfpcall.ReasonServerLimit, RetryAfter: jitter(rnd, overloadRetryAfter), Level: limited}
+	}
 	return &Refusal{Reason: dfpcall.ReasonNoBackendServer, RetryAfter: jitter(rnd, noServerRetryAfter)}
 }
 
@@ -184,6 +187,7 @@
 		return region, tierRegion
 	}
 	zone.refusing, zone.level = zone.refusing || region.refusing, min(zone.level, region.level)
+	zone.limited = min(zone.limited, region.limited)
 	return zone, tierZone
 }
 
@@ -227,11 +231,15 @@
 	// lowest admission level of the VMs skipped for that.
 	refusing bool
 	level    dfpcall.Level
+	// limited is the lowest admission level of the VMs skipped for a rate that their backend servers name; MaxLevel
+	// if there are none. Unlike an overload, a limit says nothing about the others, so calls may go to other tiers
+	// as if such a VM were not there.
+	limited dfpcall.Level
 }
 
 // drawTier draws up to two VMs that admit the call from a tier, or one that is due for a trial call.
 func (r *Router) drawTier(now time.Time, rnd *rand.Rand, s *service, tier int, q *Query) drawResult {
-	d := drawResult{level: dfpcall.MaxLevel, score: math.Inf(1)}
+	d := drawResult{level: dfpcall.MaxLevel, limited: dfpcall.MaxLevel, score: math.Inf(1)}
 	entries := s.tiers[tier]
 	n := len(entries)
 	if n == 0 {
@@ -249,7 +257,11 @@
 			continue
 		}
 		if trial {
-			return drawResult{best: e, trial: true, level: dfpcall.MaxLevel}
+			return drawResult{best: e, trial: true, level: dfpcall.MaxLevel, limited: dfpcall.MaxLevel}
+		}
+		if level, limited := e.state.limited(now, q.Importance, q.Cohort); limited {
+			d.limited = min(d.limited, level)
+			continue
 		}
 		if level, refuses := e.state.refuses(now, q.Importance, q.Cohort); refuses && !r.cfg.NoEarlyRefusal {
 			d.refusing, d.level = true, min(d.level, level)
@@ -347,6 +359,9 @@
 func (r *Router) Report(now time.Time, rnd *rand.Rand, t *Target, result Result) {
 	s := t.state
 	s.callEnded(now, !result.TimedOut)
+	if result.LimitedFor > 0 {
+		s.limitedUntil.Store(now.Add(result.LimitedFor).UnixNano())
+	}
 	if result.Bytes > 0 {
 		updateMean(&t.service.bytes, float64(result.Bytes), serviceWeight)
 	}
--- a/internal/zone/dfproute/router_test.go
+++ b/internal/zone/dfproute/router_test.go
@@ -299,3 +299,50 @@
 		})
 	}
 }
+
+// TestLimitedVMs guards against calls that stay in a region whose backend servers name limits, or are refused as
+// if the service were overloaded, while others have room.
+func TestLimitedVMs(t *testing.T) {
+	limited := dfpcall.Load{
+		InFlight: 1, Limit: 1, AdmitImportance: dfpcall.High, AdmitCohorts: 64,
+		Notice: &dfpcall.InstanceNotice{Notice: dfpcall.Notice{Limited: true, Rate: 2}},
+	}
+	all := vmsOf(1, "ost-1", "ost-2", "west-1")
+	for _, tc := range []struct {
+		name string
+		// limited lists the zones whose guards report a level because of a limit, and refused those that refused a
+		// call for it until a second later.
+		limited, refused []string
+		after            time.Duration
+		want             string
+	}{
+		{"nearest takes it", nil, nil, 0, "ost-1"},
+		{"own zone limited", []string{"ost-1"}, nil, 0, "ost-2"},
+		{"own zone has refused", nil, []string{"ost-1"}, 0, "ost-2"},
+		{"own zone has refused, later", nil, []string{"ost-1"}, time.Second, "ost-1"},
+		{"own region limited", []string{"ost-1", "ost-2"}, nil, 0, "west-1"},
+		{"own region has refused", nil, []string{"ost-1", "ost-2"}, 0, "west-1"},
+		{"all limited", []string{"ost-1", "ost-2", "west-1"}, nil, 0, ""},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r := newRouter(dfproute.Config{StayInRegion: true, SpillWhenFull: true}, all)
+			now, rnd := epoch, newRand()
+			for range tc.refused { // Each call goes to the nearest VM that has not refused one.
+				target := r.Choose(now, rnd, ordering).(*dfproute.Target)
+				r.Report(now, rnd, target, dfproute.Result{Inconclusive: true, LimitedFor: time.Second})
+			}
+			for _, zone := range tc.limited {
+				r.Observe(now, zone+"/0", limited)
+			}
+			switch choice := r.Choose(now.Add(tc.after), rnd, ordering).(type) {
+			case *dfproute.Target:
+				assert.Equal(t, choice.VM.Zone, tc.want)
+			case *dfproute.Refusal:
+				assert.Equal(t, tc.want, "")
+				assert.Equal(t, choice.Reason, dfpcall.ReasonServerLimit)
+				assert.Equal(t, choice.Level, limited.Level())
+				assert.Assert(t, choice.RetryAfter > 0)
+			}
+		})
+	}
+}
--- a/internal/zone/dfproute/state.go
+++ b/internal/zone/dfproute/state.go
@@ -39,6 +39,8 @@
 	// slowestClass is the class of the calls in flight whose answers may take the longest.
 	slowestClass atomic.Pointer[classStats]
 
+	// limitedUntil is until when the VM refuses calls for a rate that its backend server names, in Unix nanoseconds.
+	limitedUntil atomic.Int64
 	// ejectedUntil is when a trial call is due, in Unix nanoseconds; 0 while the VM is in service.
 	ejectedUntil atomic.Int64
 	// ejectionCount counts ejections and failed trials since the VM was last healthy.
@@ -127,13 +129,16 @@
 )
 
 // packLoad encodes a load in one word, from the lowest bit: 16 bits for the sum of in flight and queued, 16 for
-// the limit, 8 each for importance and cohorts, one for draining, and one that is always set.
+// the limit, 8 each for importance and cohorts, one for draining, one that is always set, and one for a named rate.
 func packLoad(l dfpcall.Load) uint64 {
 	word := uint64(clamp16(l.InFlight+l.Queued)) | uint64(clamp16(l.Limit))<<16 |
 		uint64(l.AdmitImportance)<<32 | uint64(l.AdmitCohorts)<<40
 	if l.Draining {
 		word |= 1 << 48
 	}
+	if l.Notice != nil && l.Notice.Limited {
+		word |= 1 << 50
+	}
 	return word | 1<<49
 }
 
@@ -143,6 +148,8 @@
 type unpackedLoad struct {
 	inFlight, limit int64
 	load            dfpcall.Load
+	// rateLimited reports that the backend server names a rate.
+	rateLimited bool
 }
 
 func unpackLoad(word uint64) unpackedLoad {
@@ -154,6 +161,7 @@
 			AdmitCohorts:    uint8(word >> 40),
 			Draining:        word&(1<<48) != 0,
 		},
+		rateLimited: word&(1<<50) != 0,
 	}
 }
 
@@ -187,6 +195,14 @@
 	return l.load.Level(), !l.load.Admits(importance, cohort)
 }
 
+// limited reports whether the VM is known to be beyond a rate that its backend server names, or takes fewer
+// importances because of it. It also returns the VM's admission level.
+func (s *vmState) limited(now time.Time, importance dfpcall.Importance, cohort uint8) (dfpcall.Level, bool) {
+	l, _ := s.freshLoad(now)
+	_, refuses := s.refuses(now, importance, cohort)
+	return l.load.Level() % dfpcall.MaxLevel, now.UnixNano() < s.limitedUntil.Load() || refuses && l.rateLimited
+}
+
 // callStarted records that a call of a class is sent to the VM.
 func (s *vmState) callStarted(now time.Time, class *classStats) {
 	before := s.slowestClass.Load()
