Routing: a VM is back soon after its backend server's limit has ended

A refusal for a named limit kept the VM out for its Retry-After, up to 15 s, also when the limit had ended meanwhile; with all servers of a service marked so, calls were refused though all had room. A second at most now, and at once when the guard reports no limit. TestLimitedVMs failed before in two rows (later, and no limit any more).

--- a/internal/zone/dfproute/dfproute.go
+++ b/internal/zone/dfproute/dfproute.go
@@ -89,6 +89,9 @@
 	// AdmissionTTL is how long a reported admission level is used. It is shorter than LoadTTL, since a call
 	// that is refused by that level brings back no newer one.
 	AdmissionTTL = 200 * time.Millisecond
+	// MaxLimitedTime is the longest time for which a VM gets no calls after it refused one for a rate that its
+	// backend server names. Only calls tell that the limit has ended.
+	MaxLimitedTime = time.Second
 	// MaxEjectedFraction is the largest fraction of a service's VMs that may be ejected at a time.
 	MaxEjectedFraction = 0.5
 	// BaseEjectionTime is the mean duration of a first ejection. It doubles with each
--- a/internal/zone/dfproute/router.go
+++ b/internal/zone/dfproute/router.go
@@ -350,6 +350,9 @@
 	if !ok {
 		return
 	}
+	if load.Notice == nil || !load.Notice.Limited {
+		e.state.limitedUntil.Store(0)
+	}
 	e.state.load.Store(packLoad(load))
 	e.state.outstandingAtLoad.Store(e.state.outstanding.Load())
 	e.state.loadAt.Store(now.UnixNano())
@@ -360,7 +363,7 @@
 	s := t.state
 	s.callEnded(now, !result.TimedOut)
 	if result.LimitedFor > 0 {
-		s.limitedUntil.Store(now.Add(result.LimitedFor).UnixNano())
+		s.limitedUntil.Store(now.Add(min(result.LimitedFor, MaxLimitedTime)).UnixNano())
 	}
 	if result.Bytes > 0 {
 		updateMean(&t.service.bytes, float64(result.Bytes), serviceWeight)
--- a/internal/zone/dfproute/router_test.go
+++ b/internal/zone/dfproute/router_test.go
@@ -311,7 +311,7 @@
 	for _, tc := range []struct {
 		name string
 		// limited lists the zones whose guards report a level because of a limit, and refused those that refused a
-		// call for it until a second later.
+		// call for it, with ten seconds to wait. After "ended", the first names no limit any more.
 		limited, refused []string
 		after            time.Duration
 		want             string
@@ -320,6 +320,7 @@
 		{"own zone limited", []string{"ost-1"}, nil, 0, "ost-2"},
 		{"own zone has refused", nil, []string{"ost-1"}, 0, "ost-2"},
 		{"own zone has refused, later", nil, []string{"ost-1"}, time.Second, "ost-1"},
+		{"own zone has refused, and then names no limit any more", nil, []string{"ost-1", "ended"}, 0, "ost-1"},
 		{"own region limited", []string{"ost-1", "ost-2"}, nil, 0, "west-1"},
 		{"own region has refused", nil, []string{"ost-1", "ost-2"}, 0, "west-1"},
 		{"all limited", []string{"ost-1", "ost-2", "west-1"}, nil, 0, ""},
@@ -327,9 +328,13 @@
 		t.Run(tc.name, func(t *testing.T) {
 			r := newRouter(dfproute.Config{StayInRegion: true, SpillWhenFull: true}, all)
 			now, rnd := epoch, newRand()
-			for range tc.refused { // Each call goes to the nearest VM that has not refused one.
+			for _, refused := range tc.refused { // Each call goes to the nearest VM that has not refused one.
+				if refused == "ended" {
+					r.Observe(now, "ost-1/0", admitting(0))
+					continue
+				}
 				target := r.Choose(now, rnd, ordering).(*dfproute.Target)
-				r.Report(now, rnd, target, dfproute.Result{Inconclusive: true, LimitedFor: time.Second})
+				r.Report(now, rnd, target, dfproute.Result{Inconclusive: true, LimitedFor: 10 * time.Second})
 			}
 			for _, zone := range tc.limited {
 				r.Observe(now, zone+"/0", limited)
