--- a/internal/vm/dfpnode/dfpnode.go
+++ b/internal/vm/dfpnode/dfpnode.go
@@ -24,11 +24,11 @@
 // operators' rules (dfpnode_config.go), the organisations' rates (dfpnode_rates.go or dfpnode_quota.go),
 // the claims of idempotency keys (dfpnode_once.go) and the requests that crash backend servers
 // (dfpnode_crash.go, dfpnode_quarantine.go). What backend servers say about themselves in their answers goes to
-// the guard and, by way of its load, to the other nodes (dfpnode_notice.go). Requests read this state from snapshots behind
-// atomic pointers. Each decision object that is not safe for concurrent use has a mutex of its own, which
-// is held only during a decision. Decisions about waiting requests are delivered to them before the mutex is
-// released, which never blocks. The other effects of a decision, such as messages to peers, are carried out
-// after it is released.
+// the guard and, by way of its load, to the other nodes (dfpnode_notice.go). Requests read this state from
+// snapshots behind atomic pointers. Each decision object that is not safe for concurrent use has a mutex of its
+// own, which is held only during a decision. Decisions about waiting requests are delivered to them before the
+// mutex is released, which never blocks. The other effects of a decision, such as messages to peers, are carried
+// out after it is released.
 //
 // # Usage
 //
