Log: why entries admit requests, and the guard's own level beside that of nested calls

The logs could not tell why requests reach a service that is full: by the level, as probes, or because no request had reported a level. One line a second and node, only while requests are refused for a level or wait.

--- a/internal/vm/dfpevent/dfpevent.go
+++ b/internal/vm/dfpevent/dfpevent.go
@@ -24,7 +24,7 @@
 	"dragonflyport/internal/contract/dfpcall"
 )
 
-// Event is *Request, *Repeated, *Guard, *Backend, *Notice, *Crash, *Quarantine,
+// Event is *Request, *Repeated, *Guard, *Admission, *Backend, *Notice, *Crash, *Quarantine,
 // *VM, *Ejection, *Rules, *Rate or *Dependency.
 type Event interface {
 	// Name returns the value of the field "event". It does not use the receiver, which may be nil.
@@ -36,7 +36,7 @@
 // Kinds returns an empty event of each kind.
 func Kinds() []Event {
 	return []Event{
-		new(Request), new(Repeated), new(Guard), new(Backend), new(Notice), new(Crash), new(Quarantine), new(VM), new(Ejection), new(Rules), new(Rate),
+		new(Request), new(Repeated), new(Guard), new(Admission), new(Backend), new(Notice), new(Crash), new(Quarantine), new(VM), new(Ejection), new(Rules), new(Rate),
 		new(Dependency),
 	}
 }
@@ -119,6 +119,24 @@
 	Level    int `json:"level"`
 }
 
+// Admission describes one second in which the node refused root requests by the admission levels that it knew of,
+// or in which requests waited at its guard.
+type Admission struct {
+	// Admitted counts the root requests above the levels, Probes those below that were admitted to learn
+	// of a lower level, WithoutReport those admitted since no recent request had reported a level.
+	Admitted      int64 `json:"admitted"`
+	Probes        int64 `json:"probes"`
+	WithoutReport int64 `json:"without_report"`
+	Refused       int64 `json:"refused"`
+	// InFlight, Queued, Limit and Level are the load of the guard at the end of the second, and NestedLevel is the
+	// mean level that the backend server's nested calls met.
+	InFlight    int `json:"in_flight"`
+	Queued      int `json:"queued"`
+	Limit       int `json:"limit"`
+	Level       int `json:"level"`
+	NestedLevel int `json:"nested_level"`
+}
+
 // Backend is the state of the VM's own backend server, as the node knows it.
 type Backend struct {
 	Instance string `json:"instance"`
@@ -211,6 +229,9 @@
 // Name implements Event.
 func (*Guard) Name() string { return "guard" }
 
+// Name implements Event.
+func (*Admission) Name() string { return "admission" }
+
 // Name implements Event.
 func (*Backend) Name() string { return "backend_server" }
 
@@ -241,6 +262,7 @@
 func (*Request) message() string   { return "request did not succeed" }
 func (*Repeated) message() string  { return "request succeeded after several attempts or late" }
 func (*Guard) message() string     { return "attempt did not succeed" }
+func (*Admission) message() string { return "requests were refused or waited" }
 func (b *Backend) message() string { return "backend server is " + b.State }
 func (v *VM) message() string      { return "VM is " + v.State }
 
--- a/internal/vm/dfpnode/dfpnode_account.go
+++ b/internal/vm/dfpnode/dfpnode_account.go
@@ -120,3 +120,37 @@
 		}
 	})
 }
+
+// admissionInterval is the time between two lines that describe admission.
+const admissionInterval = time.Second
+
+// runAdmissionLog logs the decisions on root requests of each interval in which some were refused or waited.
+func (n *Node) runAdmissionLog() error {
+	ticker := time.NewTicker(admissionInterval)
+	defer ticker.Stop()
+	var before [dfproute.VerdictCount]int64
+	for {
+		select {
+		case <-n.runCtx.Done():
+			return nil
+		case now := <-ticker.C:
+			var counts [dfproute.VerdictCount]int64
+			for i := range counts {
+				total := n.policy.verdicts[i].Load()
+				counts[i], before[i] = total-before[i], total
+			}
+			load := n.guard.load()
+			if counts[dfproute.Refused] == 0 && load.Queued == 0 {
+				continue
+			}
+			dfpevent.Write(n.journal, now, func() *dfpevent.Admission {
+				return &dfpevent.Admission{
+					Admitted: counts[dfproute.AdmittedByLevel], Probes: counts[dfproute.AdmittedAsProbe],
+					WithoutReport: counts[dfproute.AdmittedWithoutReport], Refused: counts[dfproute.Refused],
+					InFlight: load.InFlight, Queued: load.Queued, Limit: load.Limit,
+					Level: int(n.guard.ownLoad().Level()), NestedLevel: int(n.nested.level(now)),
+				}
+			})
+		}
+	}
+}
--- a/internal/vm/dfpnode/dfpnode_guard.go
+++ b/internal/vm/dfpnode/dfpnode_guard.go
@@ -195,11 +195,17 @@
 	}
 }
 
+// load returns the load that other nodes are told.
 func (g *guardLoop) load() dfpcall.Load {
+	load := g.ownLoad()
+	return load.Raise(g.n.nested.level(time.Now()))
+}
+
+// ownLoad returns the load of this VM's guard, without the level that nested calls met.
+func (g *guardLoop) ownLoad() dfpcall.Load {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	now := time.Now()
-	load := g.guard.Load(now).Raise(g.n.nested.level(now))
+	load := g.guard.Load(time.Now())
 	load.Notice = g.reported
 	return load
 }
--- a/internal/vm/dfpnode/dfpnode_policy.go
+++ b/internal/vm/dfpnode/dfpnode_policy.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"dragonflyport/internal/contract/dfpcall"
@@ -19,6 +20,8 @@
 type entryPolicy struct {
 	chainLevels dfproute.ChainLevels
 	bursts      dfproute.BurstDetector
+	// verdicts counts the decisions by chainLevels.
+	verdicts [dfproute.VerdictCount]atomic.Int64
 
 	mu             sync.Mutex
 	repeatLimiter  *dfpretry.RepeatLimiter
@@ -63,7 +66,7 @@
 		return n.refuseEarly(req, dfpcall.ReasonRetriesSpent, after)
 	}
 	var out dfpcall.Outcome
-	if n.cfg.Route.NoEarlyRefusal || n.policy.chainLevels.Admits(time.Now(), route, req.Importance, req.Cohort) {
+	if n.cfg.Route.NoEarlyRefusal || n.policy.admits(route, req) {
 		out = serve()
 		n.policy.observeLevel(route, out)
 	} else {
@@ -73,6 +76,13 @@
 	return out
 }
 
+// admits reports whether a root request is likely to pass the guards of its chain, or serves as a probe.
+func (p *entryPolicy) admits(route string, req *dfpcall.Request) bool {
+	verdict := p.chainLevels.Decide(time.Now(), route, req.Importance, req.Cohort)
+	p.verdicts[verdict].Add(1)
+	return verdict != dfproute.Refused
+}
+
 func (n *Node) refuseEarly(req *dfpcall.Request, reason dfpcall.Reason, after time.Duration) dfpcall.Outcome {
 	n.metrics.refusedEarly.Add(1)
 	return &dfpcall.NotRun{Reason: reason, RetryAfter: after, Budget: req.Budget}
--- a/internal/vm/dfpnode/dfpnode_run.go
+++ b/internal/vm/dfpnode/dfpnode_run.go
@@ -153,6 +153,7 @@
 		n.group.Go(n.claims.run)
 	}
 	n.group.Go(n.guard.run)
+	n.group.Go(n.runAdmissionLog)
 	n.group.Go(n.quarantine.run)
 }
 
--- a/internal/zone/dfproute/chain.go
+++ b/internal/zone/dfproute/chain.go
@@ -46,21 +46,47 @@
 // probeInterval is the time without a report after which one request below the level is admitted as a probe.
 const probeInterval = 200 * time.Millisecond
 
-// Admits reports whether a root request of a route is admitted: either it is likely to pass all guards of its
-// chain, or it goes through as a probe.
+// Verdict is the decision on a root request.
+type Verdict uint8
+
+// The verdicts.
+const (
+	// Refused means that a guard of the chain would probably refuse the request.
+	Refused Verdict = iota
+	// AdmittedByLevel means that the request is likely to pass all guards of its chain.
+	AdmittedByLevel
+	// AdmittedAsProbe means that the request is below the level, and admitted to find out whether it is still so.
+	AdmittedAsProbe
+	// AdmittedWithoutReport means that no recent request has reported a level.
+	AdmittedWithoutReport
+	verdictCount
+)
+
+// VerdictCount is the number of verdicts.
+const VerdictCount = int(verdictCount)
+
+// Admits reports whether a root request of a route is admitted.
 func (l *ChainLevels) Admits(now time.Time, route string, importance dfpcall.Importance, cohort uint8) bool {
+	return l.Decide(now, route, importance, cohort) != Refused
+}
+
+// Decide decides on a root request of a route.
+func (l *ChainLevels) Decide(now time.Time, route string, importance dfpcall.Importance, cohort uint8) Verdict {
 	found, ok := l.routes.Load(route)
 	if !ok {
-		return true
+		return AdmittedWithoutReport
 	}
 	chain := found.(*chainLevel)
-	if now.UnixNano()-chain.at.Load() > int64(ChainLevelTTL) {
-		return true
-	}
-	if float64(dfpcall.Rank(importance, cohort)) >= loadFloat(&chain.level) {
-		return true
+	switch {
+	case now.UnixNano()-chain.at.Load() > int64(ChainLevelTTL):
+		return AdmittedWithoutReport
+	case float64(dfpcall.Rank(importance, cohort)) >= loadFloat(&chain.level):
+		return AdmittedByLevel
+	case chain.allowProbe(now):
+		return AdmittedAsProbe
+	default:
+		return Refused
 	}
-	return chain.allowProbe(now)
 }
 
 // Level returns the average level that recent requests of a route have met; 0 without a recent report.
