Entries: few probes below the admission level, whatever the number of entries and routes

Cause: an entry admits a request below the level each 200 ms and route, so that probes grow with entries times routes. The class of fault: control traffic that is not bounded by the capacity it measures.

--- /dev/null
+++ b/internal/vm/dfpguard/chain_test.go
@@ -0,0 +1,292 @@
+package dfpguard_test
+
+import (
+	"container/heap"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"dragonflyport/internal/contract/dfpcall"
+	"dragonflyport/internal/vm/dfpguard"
+	"dragonflyport/internal/zone/dfproute"
+)
+
+// chainFleet simulates, in virtual time, entry nodes whose requests make calls in sequence to a deep service, by
+// way of backend servers with room. The entry nodes know of the deep service only by the levels that come back
+// with outcomes. Callers repeat once what was refused, after Retry-After.
+type chainFleet struct {
+	rng     *rand.Rand
+	now     time.Duration
+	events  eventHeap
+	order   uint64
+	handles dfpguard.Handle
+	deep    []*deepServer
+	// entries holds the levels that the requests of each entry node have met; entryCount is their number.
+	entries    []*dfproute.ChainLevels
+	entryCount int
+	// middle holds the levels that the calls of each backend server in between have met.
+	middle []*dfproute.ChainLevels
+	routes []chainRoute
+	// sent, served and deepRuns count by second of virtual time: requests first sent, requests served, and calls that
+	// ran at the deep service.
+	sent, served, deepRuns []int
+}
+
+// chainRoute is one route of an entry node.
+type chainRoute struct {
+	name string
+	// perSecond is the rate of requests over all entry nodes.
+	perSecond float64
+	// work comes before the first of the calls to the deep service, of which each chain makes its own in sequence.
+	work    time.Duration
+	chains  int
+	calls   int
+	timeout time.Duration
+	// low and high are the ranks of the route's requests.
+	low, high int
+}
+
+// deepServer is one backend server of the deep service behind its guard.
+type deepServer struct {
+	guard *dfpguard.Guard
+	// ended receives the outcome of each call.
+	ended map[dfpguard.Handle]func(ok bool)
+}
+
+const (
+	chainMiddle    = 4
+	deepSlots      = 35
+	deepWork       = 40 * time.Millisecond
+	deepTimeout    = 700 * time.Millisecond
+	chainRetry     = time.Second
+	callerDeadline = 5 * time.Second
+	// minServed is the least part to be served of the requests for which the deep service has room.
+	minServed = 0.7
+)
+
+func newChainFleet(seed uint64, entries, servers int, load float64, until time.Duration) *chainFleet {
+	f := &chainFleet{entryCount: entries, rng: rand.New(rand.NewPCG(seed, 1))}
+	seconds := int(until/time.Second) + 1
+	f.sent, f.served, f.deepRuns = make([]int, seconds), make([]int, seconds), make([]int, seconds)
+	f.routes = []chainRoute{
+		{"browse", 247 * load, 190 * time.Millisecond, 1, 4, 2 * time.Second, 0, 384},
+		{"order", 103 * load, 225 * time.Millisecond, 2, 4, 1200 * time.Millisecond, 0, 384},
+	}
+	for range servers {
+		f.deep = append(f.deep, &deepServer{ended: map[dfpguard.Handle]func(bool){}})
+	}
+	f.restart()
+	for i := range f.routes {
+		f.arriveNext(&f.routes[i])
+	}
+	f.tick()
+	return f
+}
+
+// restart replaces all nodes by new processes, which know nothing of before. The calls in progress are lost.
+func (f *chainFleet) restart() {
+	f.entries, f.middle = nil, nil
+	for range f.entryCount {
+		f.entries = append(f.entries, new(dfproute.ChainLevels))
+	}
+	for range chainMiddle {
+		f.middle = append(f.middle, new(dfproute.ChainLevels))
+	}
+	for _, d := range f.deep {
+		ended := d.ended
+		d.guard, d.ended = newGuard(dfpguard.Config{Slots: deepSlots, RampTime: -1, QueueNested: true, SlotsFraction: 0.95}), map[dfpguard.Handle]func(bool){}
+		for _, handle := range slices.Sorted(maps.Keys(ended)) {
+			ended[handle](false)
+		}
+	}
+}
+
+func (f *chainFleet) clock() time.Time { return epoch.Add(f.now) }
+
+func (f *chainFleet) after(d time.Duration, do func()) {
+	f.order++
+	heap.Push(&f.events, event{at: f.now + d, sequence: f.order, do: do})
+}
+
+func (f *chainFleet) run(until time.Duration) {
+	for len(f.events) > 0 && f.events[0].at < until {
+		e := heap.Pop(&f.events).(event)
+		f.now = e.at
+		e.do()
+	}
+	f.now = until
+}
+
+func (f *chainFleet) tick() {
+	for _, d := range f.deep {
+		d.apply(f, d.guard.Tick(f.clock()))
+	}
+	f.after(100*time.Millisecond, f.tick)
+}
+
+func (f *chainFleet) arriveNext(r *chainRoute) {
+	f.after(time.Duration(f.rng.ExpFloat64()/r.perSecond*float64(time.Second)), func() {
+		f.sent[f.now/time.Second]++
+		f.request(r, f.rng.IntN(f.entryCount), 1, f.now+callerDeadline)
+		f.arriveNext(r)
+	})
+}
+
+// request sends a request to an entry node.
+func (f *chainFleet) request(r *chainRoute, entry, repeats int, deadline time.Duration) {
+	rank := r.low + f.rng.IntN(r.high-r.low)
+	importance, cohort := dfpcall.Importance(rank/dfpcall.Cohorts), uint8(dfpcall.Cohorts-1-rank%dfpcall.Cohorts)
+	levels := f.entries[entry]
+	failed := func(after time.Duration) {
+		if repeats > 0 && f.now+after < deadline {
+			f.after(after, func() { f.request(r, f.rng.IntN(f.entryCount), repeats-1, deadline) })
+		}
+	}
+	if !levels.Admits(f.clock(), r.name, importance, cohort) {
+		failed(chainRetry/2 + time.Duration(f.rng.Int64N(int64(chainRetry))))
+		return
+	}
+	began := f.now
+	middle := f.middle[f.rng.IntN(chainMiddle)]
+	open, ended := r.chains, false
+	end := func(ok bool) {
+		if ended {
+			return
+		}
+		if open--; ok && open > 0 {
+			return
+		}
+		ended = true
+		levels.Observe(f.clock(), r.name, middle.Level(f.clock(), ""))
+		if ok {
+			f.served[f.now/time.Second]++
+		} else {
+			failed(0)
+		}
+	}
+	f.after(r.timeout, func() { open = 1; end(false) })
+	f.after(time.Duration((0.5+f.rng.Float64())*float64(r.work)), func() {
+		for range r.chains {
+			f.callDeep(middle, r.calls, func() time.Duration { return r.timeout - (f.now - began) }, func() bool { return ended }, end)
+		}
+	})
+}
+
+// callDeep makes calls to the deep service in sequence.
+func (f *chainFleet) callDeep(middle *dfproute.ChainLevels, calls int, left func() time.Duration, gone func() bool, end func(bool)) {
+	if calls == 0 {
+		end(true)
+		return
+	}
+	if gone() {
+		return
+	}
+	d := f.deep[f.rng.IntN(len(f.deep))]
+	f.handles++
+	handle := f.handles
+	d.ended[handle] = func(ok bool) {
+		middle.Observe(f.clock(), "", d.guard.Load(f.clock()).Level())
+		if !ok {
+			end(false)
+			return
+		}
+		f.after(4*time.Millisecond, func() { f.callDeep(middle, calls-1, left, gone, end) })
+	}
+	timeout := min(deepTimeout, left())
+	f.after(timeout, func() { d.cancel(f, handle) })
+	decision, effects := d.guard.Arrive(f.clock(), dfpguard.Request{Handle: handle, Importance: dfpcall.Critical, Deadline: f.clock().Add(timeout)})
+	d.apply(f, effects)
+	switch decision.(type) {
+	case *dfpguard.Start:
+		d.start(f, handle)
+	case *dfpguard.Refuse:
+		d.end(handle, false)
+	}
+}
+
+func (d *deepServer) start(f *chainFleet, handle dfpguard.Handle) {
+	guard := d.guard
+	took := time.Duration((0.5 + f.rng.Float64()) * float64(deepWork))
+	f.after(took, func() {
+		if d.guard != guard || d.ended[handle] == nil {
+			return
+		}
+		f.deepRuns[f.now/time.Second]++
+		end := d.ended[handle]
+		delete(d.ended, handle)
+		d.apply(f, guard.Done(f.clock(), handle, took, false))
+		end(true)
+	})
+}
+
+func (d *deepServer) end(handle dfpguard.Handle, ok bool) {
+	if end := d.ended[handle]; end != nil {
+		delete(d.ended, handle)
+		end(ok)
+	}
+}
+
+func (d *deepServer) cancel(f *chainFleet, handle dfpguard.Handle) {
+	if d.ended[handle] != nil {
+		d.apply(f, d.guard.Cancel(f.clock(), handle))
+		d.end(handle, false)
+	}
+}
+
+func (d *deepServer) apply(f *chainFleet, effects dfpguard.Effects) {
+	for _, h := range effects.Start {
+		d.start(f, h)
+	}
+	for _, r := range effects.Refuse {
+		d.end(r.Handle, false)
+	}
+}
+
+// TestDeepServiceBeyondCapacity guards against an overload of a deep service that entry nodes sustain, by probes or by
+// a level that swings, also after a restart of all nodes: each of several calls in sequence is late then, and nearly
+// all requests fail for one of them. It runs several times the load that few backend servers take.
+func TestDeepServiceBeyondCapacity(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		entries int
+		servers int
+		load    float64
+	}{
+		{"two backend servers", 16, 2, 1},
+		{"two backend servers, half more load", 16, 2, 1.5},
+		{"one backend server", 16, 1, 1},
+		{"one backend server, half more load", 16, 1, 1.5},
+		{"one backend server, half more load, many entry nodes", 48, 1, 1.5},
+		{"one backend server, thrice the load, many entry nodes", 96, 1, 3},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			const restart, stop = 20, 40
+			f := newChainFleet(7, tc.entries, tc.servers, tc.load, stop*time.Second)
+			f.run(restart * time.Second)
+			f.restart()
+			f.run(stop * time.Second)
+			perRequest, rate := 0.0, 0.0
+			for _, r := range f.routes {
+				perRequest += r.perSecond * float64(r.chains*r.calls)
+				rate += r.perSecond
+			}
+			capacity := float64(tc.servers) * 0.95 * deepSlots / deepWork.Seconds()
+			possible := min(rate, capacity/(perRequest/rate))
+			sum := func(counts []int, from, to int) float64 {
+				n := 0
+				for _, c := range counts[from:to] {
+					n += c
+				}
+				return float64(n) / float64(to-from)
+			}
+			t.Logf("possible %.0f of %.0f a second; served %v; deep %v", possible, rate, f.served, f.deepRuns)
+			t.Logf("before %.2f, 4 to 19 s after the restart %.2f of what is possible", sum(f.served, 8, restart)/possible, sum(f.served, restart+4, stop-1)/possible)
+			assert.Check(t, sum(f.served, 8, restart) > minServed*possible)
+			assert.Check(t, sum(f.served, restart+4, stop-1) > minServed*possible)
+		})
+	}
+}
--- a/internal/zone/dfproute/chain.go
+++ b/internal/zone/dfproute/chain.go
@@ -10,8 +10,9 @@
 )
 
 const (
-	// ChainLevelTTL is how long a route's level is used after its last report.
-	ChainLevelTTL = time.Second
+	// ChainLevelTTL is how long a route's level is used after its last report. Without it, a route that nobody
+	// uses would keep its level; one in use has a probe sooner.
+	ChainLevelTTL = 2 * maxProbeInterval
 	// levelTimeConstant is the time constant of a route's level: frequent reports are
 	// averaged over it, and a report after a long pause counts almost in full.
 	levelTimeConstant = 100 * time.Millisecond
@@ -39,12 +40,19 @@
 	// Unix nanoseconds.
 	level atomic.Uint64
 	at    atomic.Int64
-	// nextProbe is the earliest time at which the next probe may be sent, in Unix nanoseconds.
-	nextProbe atomic.Int64
+	// probedAt is the time of the last probe, in Unix nanoseconds, and refused counts the requests refused since.
+	probedAt atomic.Int64
+	refused  atomic.Int64
 }
 
-// probeInterval is the time without a report after which one request below the level is admitted as a probe.
-const probeInterval = 200 * time.Millisecond
+// A request below the level is admitted as a probe if there was no report for probeInterval and either
+// refusalsPerProbe requests were refused since the last probe, or maxProbeInterval has passed. All entry nodes
+// together must not fill by their probes what is left of a service.
+const (
+	probeInterval    = 200 * time.Millisecond
+	maxProbeInterval = 2 * time.Second
+	refusalsPerProbe = 32
+)
 
 // Verdict is the decision on a root request.
 type Verdict uint8
@@ -102,14 +110,17 @@
 	return dfpcall.Level(loadFloat(&chain.level))
 }
 
-// allowProbe reports whether a request below the level is admitted as a probe: one at a time, and only
-// if there was no report for probeInterval. Work spent on a probe may be lost.
+// allowProbe reports whether a request below the level is admitted as a probe, and counts it as refused if not.
 func (c *chainLevel) allowProbe(now time.Time) bool {
-	due := c.nextProbe.Load()
-	if now.UnixNano() < max(due, c.at.Load()+int64(probeInterval)) {
+	refused, last := c.refused.Add(1), c.probedAt.Load()
+	reported := c.at.Load()
+	due := now.UnixNano() >= max(last, reported)+int64(probeInterval) &&
+		(refused > refusalsPerProbe || now.UnixNano() >= max(last, reported)+int64(maxProbeInterval))
+	if !due || !c.probedAt.CompareAndSwap(last, now.UnixNano()) {
 		return false
 	}
-	return c.nextProbe.CompareAndSwap(due, now.Add(probeInterval).UnixNano())
+	c.refused.Store(0)
+	return true
 }
 
 // Observe records the level that a root request of a route has met.
