Nested calls: callers' requests on open routes do not count as calls of the backend server

Cause: where backend servers do not name the request for which they make a call, a node takes each request on an open route for a nested call of its backend server, callers' own too, and reports the level that it met as its own. The class of fault: a report that comes back to who made it.

--- a/internal/vm/dfpnode/dfpnode_entry.go
+++ b/internal/vm/dfpnode/dfpnode_entry.go
@@ -129,8 +129,11 @@
 	*served = *n.newRootRequest(match, in)
 	req := served
 	if match.route.Open && n.cfg.OpenRoutesAreNested {
+		nested := in.Timeout == 0 || n.parents.mayHaveMade(time.Now().Add(in.Timeout))
 		out := n.dispatch(ctx, req)
-		n.nested.observe(time.Now(), out)
+		if nested {
+			n.nested.observe(time.Now(), out)
+		}
 		return out
 	}
 	return n.serveWithinPolicy(req, match.route.ID(), in.IdempotencyKey, func() dfpcall.Outcome {
--- a/internal/vm/dfpnode/dfpnode_parents.go
+++ b/internal/vm/dfpnode/dfpnode_parents.go
@@ -5,6 +5,7 @@
 	"crypto/rand"
 	"encoding/hex"
 	"sync"
+	"time"
 
 	"dragonflyport/internal/contract/dfpcall"
 	"dragonflyport/internal/contract/dfpretry"
@@ -105,6 +106,22 @@
 
 func (p *parents) remove(token string) { p.byToken.Delete(token) }
 
+// nestedDeadlineTolerance is by how much a nested call may seem to expire after the request that makes it: its time
+// left counts from when this node reads it, which may be late, and is in whole milliseconds.
+const nestedDeadlineTolerance = 50 * time.Millisecond
+
+// mayHaveMade reports whether a call that expires at the given time may be one of a running request's: a nested
+// call expires no later than the request for which it is made.
+func (p *parents) mayHaveMade(expires time.Time) bool {
+	found := false
+	p.byToken.Range(func(_, value any) bool {
+		deadline, ok := value.(*parent).ctx.Deadline()
+		found = !ok || !expires.After(deadline.Add(nestedDeadlineTolerance))
+		return !found
+	})
+	return found
+}
+
 // find returns the running request with a token, or nil if there is none.
 func (p *parents) find(token string) *parent {
 	found, ok := p.byToken.Load(token)
