Nested calls: the level that they meet applies to classes that may depend on them

Cause: backend servers do not name the request for which they make a call, so the level that a VM's calls met was reported as the VM's own and applied to all requests to it. The class of fault: a statement about some requests of a VM, kept as one about the VM.

The guard compares, for each class, the failures that it had with those that it would have had if all running requests made the failed calls alike (as the log-rank test does), and says so in its answers. Without failed calls nothing is known and all stays as before.

--- a/internal/contract/dfpcall/dfpcall.go
+++ b/internal/contract/dfpcall/dfpcall.go
@@ -188,8 +188,22 @@
 	// NestedFailed reports that a call nested in this one did not succeed. An error status then
 	// does not count against the backend server that returned it.
 	NestedFailed bool `cbor:"nested_failed,omitempty"`
+	// NestedLevel is the mean level that the backend server's nested calls met lately. It applies to the call if its
+	// class may depend on them; Dependence says what the guard knows of that.
+	NestedLevel Level      `cbor:"nested_level,omitempty"`
+	Dependence  Dependence `cbor:"dependence,omitempty"`
 }
 
+// Dependence is whether calls of a class depend on the nested calls of their backend server.
+type Dependence uint8
+
+// The dependences.
+const (
+	DependenceUnknown Dependence = iota
+	Independent
+	Dependent
+)
+
 // NotRun reports that the request did not run and never will.
 type NotRun struct {
 	Reason Reason `cbor:"reason"`
@@ -206,8 +220,9 @@
 	Reason Reason `cbor:"reason"`
 	Budget int    `cbor:"budget"`
 	Level  Level  `cbor:"level,omitempty"`
-	// NestedFailed is the same as in Answer.
-	NestedFailed bool `cbor:"nested_failed,omitempty"`
+	// NestedFailed and NestedLevel are the same as in Answer.
+	NestedFailed bool  `cbor:"nested_failed,omitempty"`
+	NestedLevel  Level `cbor:"nested_level,omitempty"`
 }
 
 func (*Answer) outcome()  {}
@@ -273,6 +288,9 @@
 	// cohort 0; Cohorts admits all of them.
 	AdmitCohorts uint8 `cbor:"admit_cohorts" json:"admit_cohorts"`
 	Draining     bool  `cbor:"draining" json:"draining"`
+	// NestedLevel is the mean level that the backend server's nested calls met. It applies to requests that may
+	// depend on such calls.
+	NestedLevel Level `cbor:"nested_level,omitempty" json:"nested_level,omitempty"`
 	// Notice is what the backend server says about itself; nil if it says nothing, or nothing yet.
 	Notice *InstanceNotice `cbor:"notice,omitempty" json:"notice,omitempty"`
 }
--- a/internal/vm/dfpnode/dfpnode.go
+++ b/internal/vm/dfpnode/dfpnode.go
@@ -18,6 +18,7 @@
 // nested calls made for it.
 //
 // dfpnode_run.go starts the listeners and shuts the node down gracefully.
+// dfpnode_nested.go tracks the nested calls of a backend server that names no parents, and which classes depend on them.
 // dfpnode_connections.go limits the connections that a listener keeps open.
 //
 // Control loops update the state that the roles share: the roster of VMs (dfpnode_roster.go), the
--- a/internal/vm/dfpnode/dfpnode_account.go
+++ b/internal/vm/dfpnode/dfpnode_account.go
@@ -148,7 +148,7 @@
 					Admitted: counts[dfproute.AdmittedByLevel], Probes: counts[dfproute.AdmittedAsProbe],
 					WithoutReport: counts[dfproute.AdmittedWithoutReport], Refused: counts[dfproute.Refused],
 					InFlight: load.InFlight, Queued: load.Queued, Limit: load.Limit,
-					Level: int(n.guard.ownLoad().Level()), NestedLevel: int(n.nested.level(now)),
+					Level: int(load.Level()), NestedLevel: int(load.NestedLevel),
 				}
 			})
 		}
--- a/internal/vm/dfpnode/dfpnode_entry.go
+++ b/internal/vm/dfpnode/dfpnode_entry.go
@@ -132,7 +132,7 @@
 		nested := in.Timeout == 0 || n.parents.mayHaveMade(time.Now().Add(in.Timeout))
 		out := n.dispatch(ctx, req)
 		if nested {
-			n.nested.observe(time.Now(), out)
+			n.nested.observe(time.Now(), out, n.levelMet(req, out))
 		}
 		return out
 	}
--- a/internal/vm/dfpnode/dfpnode_guard.go
+++ b/internal/vm/dfpnode/dfpnode_guard.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -195,18 +196,12 @@
 	}
 }
 
-// load returns the load that other nodes are told.
 func (g *guardLoop) load() dfpcall.Load {
-	load := g.ownLoad()
-	return load.Raise(g.n.nested.level(time.Now()))
-}
-
-// ownLoad returns the load of this VM's guard, without the level that nested calls met.
-func (g *guardLoop) ownLoad() dfpcall.Load {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	load := g.guard.Load(time.Now())
-	load.Notice = g.reported
+	now := time.Now()
+	load := g.guard.Load(now)
+	load.NestedLevel, load.Notice = g.n.nested.level(now), g.reported
 	return load
 }
 
@@ -248,6 +243,7 @@
 		req.Timeout = time.Until(deadline)
 	}
 	fingerprint := dfpquarantine.FingerprintOf(req)
+	nested := n.nested.start(n.classOf(req))
 	n.crashes.start(backend, uint64(handle), fingerprint)
 	out, notice := n.backend.Run(ctx, backend.Address, req, token)
 	n.crashes.finish(uint64(handle), backend, out)
@@ -259,7 +255,18 @@
 		n.guard.observeNotice(backend, started, *notice)
 	}
 	now := time.Now()
-	nestedFailed := running.finish(out, n.guard.load().Level(), n.nested.failedRecently(now))
+	load := n.guard.load()
+	dependence := n.nested.end(nested, out)
+	if dependence == dfpcall.Independent {
+		load.NestedLevel = 0
+	}
+	switch out := out.(type) {
+	case *dfpcall.Answer:
+		out.NestedLevel, out.Dependence = load.NestedLevel, dependence
+	case *dfpcall.Unknown:
+		out.NestedLevel = load.NestedLevel
+	}
+	nestedFailed := running.finish(out, load.Level(), dependence != dfpcall.Independent && n.nested.failedRecently(now))
 	n.guard.finish(now, handle, now.Sub(started), classifyRun(out, nestedFailed))
 	n.metrics.guardRan.Add(1)
 	if hasEnded(out) {
@@ -269,6 +276,20 @@
 	return out
 }
 
+// classOf returns the id of the route of a request; empty if the rules in force have none for it.
+func (n *Node) classOf(req *dfpcall.Request) string {
+	if req.Class != "" {
+		return req.Class
+	}
+	path, _, _ := strings.Cut(req.Path, "?")
+	if rules := n.config.rules(); rules != nil {
+		if route, found := rules.FindRoute(req.Method, req.Host, path); found {
+			return route.ID()
+		}
+	}
+	return ""
+}
+
 // runResult is the result of a run as an indication of the backend server's health.
 type runResult int
 
--- a/internal/vm/dfpnode/dfpnode_policy.go
+++ b/internal/vm/dfpnode/dfpnode_policy.go
@@ -68,7 +68,7 @@
 	var out dfpcall.Outcome
 	if n.cfg.Route.NoEarlyRefusal || n.policy.admits(route, req) {
 		out = serve()
-		n.policy.observeLevel(route, out)
+		n.policy.observeLevel(route, out, n.levelMet(req, out))
 	} else {
 		out = n.refuseEarly(req, dfpcall.ReasonOverload, earlyRetryAfter/2+rand.N(earlyRetryAfter))
 	}
@@ -115,9 +115,9 @@
 
 // observeLevel records the admission level that a request of a route met. Requests that were refused for
 // other reasons than overload met none.
-func (p *entryPolicy) observeLevel(route string, out dfpcall.Outcome) {
+func (p *entryPolicy) observeLevel(route string, out dfpcall.Outcome, level dfpcall.Level) {
 	if notRun, ok := out.(*dfpcall.NotRun); ok && notRun.Reason != dfpcall.ReasonOverload {
 		return
 	}
-	p.chainLevels.Observe(time.Now(), route, levelOf(out))
+	p.chainLevels.Observe(time.Now(), route, level)
 }
--- a/internal/vm/dfpnode/dfpnode_route.go
+++ b/internal/vm/dfpnode/dfpnode_route.go
@@ -85,12 +85,29 @@
 	return n.mesh.Run(ctx, address, req)
 }
 
+// levelMet returns the highest admission level that a call and the calls below it met. A level of nested calls counts
+// only if the call's class may depend on them.
+func (n *Node) levelMet(req *dfpcall.Request, out dfpcall.Outcome) dfpcall.Level {
+	nested := dfpcall.Level(0)
+	switch out := out.(type) {
+	case *dfpcall.Answer:
+		nested = out.NestedLevel
+	case *dfpcall.Unknown:
+		nested = out.NestedLevel
+	}
+	if n.router.Independent(req.Service, req.Class) {
+		nested = 0
+	}
+	return max(levelOf(out), nested)
+}
+
 func resultOf(out dfpcall.Outcome, req *dfpcall.Request, took time.Duration) dfproute.Result {
 	result := dfproute.Result{Took: took, Bytes: len(req.Body)}
 	switch out := out.(type) {
 	case *dfpcall.Answer:
 		result.Failed = out.Status >= http.StatusInternalServerError && !out.NestedFailed
 		result.Inconclusive = out.NestedFailed
+		result.Dependence = out.Dependence
 		result.Bytes += len(out.Body)
 	case *dfpcall.NotRun:
 		if out.Reason == dfpcall.ReasonServerLimit {
--- a/internal/zone/dfproute/dfproute.go
+++ b/internal/zone/dfproute/dfproute.go
@@ -153,4 +153,6 @@
 	LimitedFor time.Duration
 	// Bytes is the size of request and answer together.
 	Bytes int
+	// Dependence is what the VM's guard knows of the class.
+	Dependence dfpcall.Dependence
 }
--- a/internal/zone/dfproute/router.go
+++ b/internal/zone/dfproute/router.go
@@ -241,6 +241,7 @@
 func (r *Router) drawTier(now time.Time, rnd *rand.Rand, s *service, tier int, q *Query) drawResult {
 	d := drawResult{level: dfpcall.MaxLevel, limited: dfpcall.MaxLevel, score: math.Inf(1)}
 	entries := s.tiers[tier]
+	class := s.stats.class(q.Class)
 	n := len(entries)
 	if n == 0 {
 		return d
@@ -259,11 +260,11 @@
 		if trial {
 			return drawResult{best: e, trial: true, level: dfpcall.MaxLevel, limited: dfpcall.MaxLevel}
 		}
-		if level, limited := e.state.limited(now, q.Importance, q.Cohort); limited {
+		if level, limited := e.state.limited(now, class, q.Importance, q.Cohort); limited {
 			d.limited = min(d.limited, level)
 			continue
 		}
-		if level, refuses := e.state.refuses(now, q.Importance, q.Cohort); refuses && !r.cfg.NoEarlyRefusal {
+		if level, refuses := e.state.refuses(now, class, q.Importance, q.Cohort); refuses && !r.cfg.NoEarlyRefusal {
 			d.refusing, d.level = true, min(d.level, level)
 			continue
 		}
@@ -344,6 +345,12 @@
 	}
 }
 
+// Independent reports whether calls of a class to a service are known not to depend on nested calls.
+func (r *Router) Independent(service, class string) bool {
+	s, ok := r.snapshot.Load().services[service]
+	return ok && s.stats.class(class).independent.Load()
+}
+
 // Observe records a load that the guard of the VM at address reported.
 func (r *Router) Observe(now time.Time, address string, load dfpcall.Load) {
 	e, ok := r.snapshot.Load().byAddress[address]
@@ -362,6 +369,9 @@
 func (r *Router) Report(now time.Time, rnd *rand.Rand, t *Target, result Result) {
 	s := t.state
 	s.callEnded(now, !result.TimedOut)
+	if result.Dependence != dfpcall.DependenceUnknown {
+		t.class.independent.Store(result.Dependence == dfpcall.Independent)
+	}
 	if result.LimitedFor > 0 {
 		s.limitedUntil.Store(now.Add(min(result.LimitedFor, MaxLimitedTime)).UnixNano())
 	}
--- a/internal/zone/dfproute/router_test.go
+++ b/internal/zone/dfproute/router_test.go
@@ -351,3 +351,41 @@
 		})
 	}
 }
+
+// TestNestedLevel guards against calls that are refused for the overload of a service which they do not lead to: the
+// level that a VM's nested calls met applies to classes that may depend on them only.
+func TestNestedLevel(t *testing.T) {
+	const level = dfpcall.Level(300)
+	for _, tc := range []struct {
+		name string
+		// answers are what VMs have said of the class, in this order.
+		answers []dfpcall.Dependence
+		load    dfpcall.Load
+		refused bool
+	}{
+		{"nothing is known", nil, dfpcall.Load{NestedLevel: level}, true},
+		{"dependent", []dfpcall.Dependence{dfpcall.Dependent}, dfpcall.Load{NestedLevel: level}, true},
+		{"independent", []dfpcall.Dependence{dfpcall.Independent}, dfpcall.Load{NestedLevel: level}, false},
+		{"a VM does not know it", []dfpcall.Dependence{dfpcall.Independent, dfpcall.DependenceUnknown}, dfpcall.Load{NestedLevel: level}, false},
+		{"has become dependent", []dfpcall.Dependence{dfpcall.Independent, dfpcall.Dependent}, dfpcall.Load{NestedLevel: level}, true},
+		{"the VM itself is overloaded", []dfpcall.Dependence{dfpcall.Independent}, dfpcall.Load{}.Raise(level), true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r := newRouter(dfproute.Config{}, vmsOf(1, "ost-1"))
+			rnd := newRand()
+			query := ordering
+			query.Class, query.Importance = "book", dfpcall.Low
+			for _, answer := range tc.answers {
+				target := r.Choose(epoch, rnd, query).(*dfproute.Target)
+				r.Report(epoch, rnd, target, dfproute.Result{Took: time.Millisecond, Dependence: answer})
+			}
+			load := tc.load
+			if load.AdmitCohorts == 0 {
+				load.AdmitCohorts = dfpcall.Cohorts
+			}
+			r.Observe(epoch, "ost-1/0", load)
+			_, refused := r.Choose(epoch, rnd, query).(*dfproute.Refusal)
+			assert.Equal(t, refused, tc.refused)
+		})
+	}
+}
--- a/internal/zone/dfproute/state.go
+++ b/internal/zone/dfproute/state.go
@@ -69,6 +69,8 @@
 type classStats struct {
 	// latency is the mean duration of successful calls in seconds.
 	latency runningMean
+	// independent is set if the last VM that knew said that the class does not depend on nested calls.
+	independent atomic.Bool
 }
 
 // expected returns the mean duration of a call in seconds; 0 if there were too few to tell.
@@ -129,7 +131,7 @@
 )
 
 // packLoad encodes a load in one word, from the lowest bit: 16 bits for the sum of in flight and queued, 16 for
-// the limit, 8 each for importance and cohorts, one for draining, one that is always set, and one for a named rate.
+// the limit, 8 each for importance and cohorts, one for draining, one that is always set, one for a named rate, and 9 for the nested level.
 func packLoad(l dfpcall.Load) uint64 {
 	word := uint64(clamp16(l.InFlight+l.Queued)) | uint64(clamp16(l.Limit))<<16 |
 		uint64(l.AdmitImportance)<<32 | uint64(l.AdmitCohorts)<<40
@@ -139,7 +141,7 @@
 	if l.Notice != nil && l.Notice.Limited {
 		word |= 1 << 50
 	}
-	return word | 1<<49
+	return word | 1<<49 | uint64(min(l.NestedLevel, dfpcall.MaxLevel-1))<<51
 }
 
 func clamp16(n int) uint16 { return uint16(min(max(n, 0), math.MaxUint16)) }
@@ -160,6 +162,7 @@
 			AdmitImportance: dfpcall.Importance(word >> 32),
 			AdmitCohorts:    uint8(word >> 40),
 			Draining:        word&(1<<48) != 0,
+			NestedLevel:     dfpcall.Level(word >> 51),
 		},
 		rateLimited: word&(1<<50) != 0,
 	}
@@ -186,20 +189,24 @@
 	return float64(inFlight+1) / float64(max(l.limit, 1))
 }
 
-// refuses returns the VM's admission level and reports whether the VM is expected to refuse such a call.
-func (s *vmState) refuses(now time.Time, importance dfpcall.Importance, cohort uint8) (dfpcall.Level, bool) {
+// refuses returns the VM's admission level for a class and reports whether the VM is expected to refuse such a call.
+func (s *vmState) refuses(now time.Time, class *classStats, importance dfpcall.Importance, cohort uint8) (dfpcall.Level, bool) {
 	l, ok := s.freshLoad(now)
 	if !ok || now.UnixNano()-s.loadAt.Load() > int64(AdmissionTTL) {
 		return 0, false
 	}
-	return l.load.Level(), !l.load.Admits(importance, cohort)
+	load := l.load
+	if !class.independent.Load() {
+		load = load.Raise(load.NestedLevel)
+	}
+	return load.Level(), !load.Admits(importance, cohort)
 }
 
 // limited reports whether the VM is known to be beyond a rate that its backend server names, or takes fewer
 // importances because of it. It also returns the VM's admission level.
-func (s *vmState) limited(now time.Time, importance dfpcall.Importance, cohort uint8) (dfpcall.Level, bool) {
+func (s *vmState) limited(now time.Time, class *classStats, importance dfpcall.Importance, cohort uint8) (dfpcall.Level, bool) {
 	l, _ := s.freshLoad(now)
-	_, refuses := s.refuses(now, importance, cohort)
+	_, refuses := s.refuses(now, class, importance, cohort)
 	return l.load.Level() % dfpcall.MaxLevel, now.UnixNano() < s.limitedUntil.Load() || refuses && l.rateLimited
 }
 
