Guard: the admission level of a deep service allows for the delay of its effect

What callers saw: with few backend servers left of a service that others call, the service swings between a full queue and idle slots, and most requests fail for one of their calls, before and after a restart of all nodes.

Cause: the controller went by the waiting time alone, with steps of equal ranks. A changed level shows in the arriving calls after a second or so; until then it moved on, and at a high level each step halved or doubled the load. The class of fault: integral control over a dead time.

The controller compares the calls that arrive now with the part that the level of a second ago admitted, and derives the part that would just use the slots.

--- a/internal/vm/dfpguard/chain_test.go
+++ b/internal/vm/dfpguard/chain_test.go
@@ -28,8 +28,9 @@
 	// entries holds the levels that the requests of each entry node have met; entryCount is their number.
 	entries    []*dfproute.ChainLevels
 	entryCount int
-	// middle holds the levels that the calls of each backend server in between have met.
-	middle []*dfproute.ChainLevels
+	// hops holds the levels that the calls of each backend server in between have met: those of the service that
+	// calls the deep one first.
+	hops   [chainHops][]*dfproute.ChainLevels
 	routes []chainRoute
 	// sent, served and deepRuns count by second of virtual time: requests first sent, requests served, and calls that
 	// ran at the deep service.
@@ -42,8 +43,10 @@
 	// perSecond is the rate of requests over all entry nodes.
 	perSecond float64
 	// work comes before the first of the calls to the deep service, of which each chain makes its own in sequence.
-	work    time.Duration
-	chains  int
+	work   time.Duration
+	chains int
+	// hops is the number of services between entry and deep service.
+	hops    int
 	calls   int
 	timeout time.Duration
 	// low and high are the ranks of the route's requests.
@@ -58,7 +61,8 @@
 }
 
 const (
-	chainMiddle    = 4
+	chainHops      = 3
+	serversPerHop  = 4
 	deepSlots      = 35
 	deepWork       = 40 * time.Millisecond
 	deepTimeout    = 700 * time.Millisecond
@@ -73,8 +77,8 @@
 	seconds := int(until/time.Second) + 1
 	f.sent, f.served, f.deepRuns = make([]int, seconds), make([]int, seconds), make([]int, seconds)
 	f.routes = []chainRoute{
-		{"browse", 247 * load, 190 * time.Millisecond, 1, 4, 2 * time.Second, 0, 384},
-		{"order", 103 * load, 225 * time.Millisecond, 2, 4, 1200 * time.Millisecond, 0, 384},
+		{"browse", 247 * load, 190 * time.Millisecond, 1, 3, 4, 1200 * time.Millisecond, 0, 384},
+		{"order", 103 * load, 225 * time.Millisecond, 2, 2, 4, 1200 * time.Millisecond, 0, 384},
 	}
 	for range servers {
 		f.deep = append(f.deep, &deepServer{ended: map[dfpguard.Handle]func(bool){}})
@@ -89,12 +93,15 @@
 
 // restart replaces all nodes by new processes, which know nothing of before. The calls in progress are lost.
 func (f *chainFleet) restart() {
-	f.entries, f.middle = nil, nil
+	f.entries = nil
 	for range f.entryCount {
 		f.entries = append(f.entries, new(dfproute.ChainLevels))
 	}
-	for range chainMiddle {
-		f.middle = append(f.middle, new(dfproute.ChainLevels))
+	for i := range f.hops {
+		f.hops[i] = nil
+		for range serversPerHop {
+			f.hops[i] = append(f.hops[i], new(dfproute.ChainLevels))
+		}
 	}
 	for _, d := range f.deep {
 		ended := d.ended
@@ -151,27 +158,38 @@
 		return
 	}
 	began := f.now
-	middle := f.middle[f.rng.IntN(chainMiddle)]
 	open, ended := r.chains, false
+	first := f.hops[r.hops-1][f.rng.IntN(serversPerHop)]
 	end := func(ok bool) {
 		if ended {
 			return
 		}
-		if open--; ok && open > 0 {
-			return
+		if ok {
+			if open--; open > 0 {
+				return
+			}
 		}
 		ended = true
-		levels.Observe(f.clock(), r.name, middle.Level(f.clock(), ""))
+		levels.Observe(f.clock(), r.name, first.Level(f.clock(), ""))
 		if ok {
 			f.served[f.now/time.Second]++
 		} else {
 			failed(0)
 		}
 	}
-	f.after(r.timeout, func() { open = 1; end(false) })
+	f.after(r.timeout, func() { end(false) })
 	f.after(time.Duration((0.5+f.rng.Float64())*float64(r.work)), func() {
 		for range r.chains {
-			f.callDeep(middle, r.calls, func() time.Duration { return r.timeout - (f.now - began) }, func() bool { return ended }, end)
+			path := []*dfproute.ChainLevels{first}
+			for hop := r.hops - 2; hop >= 0; hop-- {
+				path = append(path, f.hops[hop][f.rng.IntN(serversPerHop)])
+			}
+			f.callDeep(path[len(path)-1], r.calls, func() time.Duration { return r.timeout - (f.now - began) }, func() bool { return ended }, func(ok bool) {
+				for i := len(path) - 2; i >= 0; i-- {
+					path[i].Observe(f.clock(), "", path[i+1].Level(f.clock(), ""))
+				}
+				end(ok)
+			})
 		}
 	})
 }
--- a/internal/vm/dfpguard/guard.go
+++ b/internal/vm/dfpguard/guard.go
@@ -131,6 +131,7 @@
 		return g.refuse(dfpcall.ReasonNoBackendServer)
 	}
 	g.admission.recordArrival(req)
+	g.waitControl.arrivals++
 	if g.cfg.QueueNested && req.Importance == dfpcall.Critical {
 		return g.startOrQueue(req, free, effects)
 	}
@@ -269,7 +270,7 @@
 	if g.cfg.Mode == ModeAdaptive {
 		g.limiter.advance(g.now)
 		if g.cfg.QueueNested {
-			g.waitControl.advance(g.now, g.cfg.Window, g.slotDelay(g.queue.len()), g.usage())
+			g.waitControl.advance(g.now, g.cfg.Window, capacity{g.slotDelay(g.queue.len()), g.usage(), g.capacityPerSecond()})
 		}
 		g.admission.advance(g.now, g.window(), g.queue, g.queueLimit())
 		if g.cfg.QueueNested {
@@ -295,6 +296,18 @@
 	return float64(len(g.running)) / float64(g.limit())
 }
 
+// capacityPerSecond returns the rate of requests that the limit, or the limit that the backend server names, allows; 0
+// if it is not known yet.
+func (g *Guard) capacityPerSecond() float64 {
+	switch {
+	case g.rate.limited:
+		return g.rate.perSecond
+	case g.service.mean == 0:
+		return 0
+	}
+	return float64(g.limit()) / g.service.mean.Seconds()
+}
+
 func (g *Guard) dispatch(effects *Effects) {
 	for g.free() {
 		req, ok := g.queue.pop()
--- a/internal/vm/dfpguard/steer.go
+++ b/internal/vm/dfpguard/steer.go
@@ -1,32 +1,63 @@
 package dfpguard
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // waitController controls the admission level of a backend server that serves mostly nested calls. To refuse
 // a nested call wastes the work done before it, so the guard queues these calls and limits their number by
-// the level at which entry nodes admit new requests. The controller is an integral controller on the waiting
-// time of the calls, since the guard cannot tell how many calls a request at an entry node leads to.
+// the level at which entry nodes admit new requests.
+//
+// A changed level has an effect only after effectDelay: entry nodes have to hear of it, and the requests that they
+// have admitted make calls for some time. So the controller compares the rate of the calls that arrive now with the
+// part of the requests that the level of effectDelay ago admitted, and derives from both the part that would just
+// use the capacity, like a Smith predictor (Smith, Closer control of loops with dead time, 1957). A controller
+// that goes by the waiting time alone moves on while nothing can have changed yet, and swings.
 type waitController struct {
 	level      float64
 	lastUpdate time.Time
+	// arrivals counts calls since the last update, and perSecond is their smoothed rate.
+	arrivals  int
+	perSecond float64
+	// history holds the admitted parts of the last effectDelay, a value for each update, the oldest first.
+	history []admittedAt
 	// refused is set if a call was refused since the last update, for a limit that the backend server names. The
 	// queue is then too short for the waiting time to tell how many calls are beyond the limit.
 	refused bool
 }
 
+// admittedAt is the part of the requests that was admitted from a time on.
+type admittedAt struct {
+	at   time.Time
+	part float64
+}
+
+// capacity is what the controller knows of its backend server.
+type capacity struct {
+	// waiting is how long a call waits now, usage the fraction of the slots in use.
+	waiting time.Duration
+	usage   float64
+	// perSecond is the rate of calls that the slots allow; 0 if it is not known yet.
+	perSecond float64
+}
+
 const (
 	// targetWait is the waiting time in equilibrium. It is long enough that slots are not idle between two
 	// arrivals, and short compared with the latency objectives of requests with several calls in sequence.
 	targetWait = 25 * time.Millisecond
-	// levelGain is the number of ranks per second by which the level rises when calls wait twice the target.
-	// The whole range takes four seconds, several times the delay until refusals at the entry nodes have an
-	// effect here.
-	levelGain = 90.0
-	// maxWaitError limits the relative error of the waiting time, and so the rate at which the level rises.
-	maxWaitError = 2.5
-	// idleSlotGain sets how much faster the level falls while slots are idle: by the factor 1 + idleSlotGain *
-	// (busyFraction - the fraction in use). Idle slots show that too many requests are refused.
-	idleSlotGain = 4.0
+	// effectDelay is the time after which a changed level shows in the arriving calls.
+	effectDelay = time.Second
+	// rateTime is the time constant of the smoothed rate of arrivals.
+	rateTime = 300 * time.Millisecond
+	// raiseTime and lowerTime are the time constants with which the level is raised and lowered.
+	raiseTime = 300 * time.Millisecond
+	lowerTime = time.Second
+	// drainTime is the time in which a queue is to be worked off.
+	drainTime = time.Second
+	// maxGrowth is the factor by which the admitted part may grow in lowerTime. Arrivals tell little about a level at
+	// which few requests are admitted.
+	maxGrowth = 4.0
 	// busyFraction is the fraction of slots in use above which the level is not lowered, since nothing can
 	// be gained.
 	busyFraction = 0.93
@@ -35,25 +66,47 @@
 	maxControlledLevel = float64(entryLevels - 12)
 	// entryLevels is the number of levels below those of nested calls.
 	entryLevels = 3 * ranks / 4
+	// limitGain is the number of ranks per second by which the level rises while calls are refused for a limit
+	// that the backend server names.
+	limitGain = 225.0
 )
 
-// advance moves the level by the waiting time and the slot usage since the last update.
-func (c *waitController) advance(now time.Time, window time.Duration, waiting time.Duration, usage float64) {
+// advance moves the level by what has arrived since the last update.
+func (c *waitController) advance(now time.Time, window time.Duration, backend capacity) {
 	age := now.Sub(c.lastUpdate)
 	if age < window {
 		return
 	}
-	c.lastUpdate = now
+	if c.lastUpdate.IsZero() || age > effectDelay {
+		c.perSecond, c.history = 0, nil
+	}
 	elapsed := min(age, 2*window).Seconds()
-	deviation := min(float64(waiting)/float64(targetWait)-1, maxWaitError)
-	if c.refused {
-		deviation, c.refused = maxWaitError, false
+	c.perSecond += (float64(c.arrivals)/age.Seconds() - c.perSecond) * -math.Expm1(-elapsed/rateTime.Seconds())
+	c.lastUpdate, c.arrivals = now, 0
+	part := 1 - c.level/entryLevels
+	c.history = append(c.history, admittedAt{now, part})
+	for len(c.history) > 1 && now.Sub(c.history[1].at) >= effectDelay {
+		c.history = c.history[1:]
+	}
+	switch {
+	case c.refused:
+		c.level += limitGain * elapsed
+	case backend.waiting > targetWait:
+		target := c.targetPart(backend) / (1 + (backend.waiting-targetWait).Seconds()/drainTime.Seconds())
+		c.level = entryLevels * (1 - part*math.Pow(min(target/part, 1), min(elapsed/raiseTime.Seconds(), 1)))
+	case backend.usage <= busyFraction:
+		growth := min(max(c.targetPart(backend)/part, 1), maxGrowth)
+		c.level = entryLevels * (1 - part*math.Pow(growth, elapsed/lowerTime.Seconds()))
 	}
-	if deviation < 0 {
-		if usage > busyFraction {
-			return
-		}
-		deviation *= 1 + idleSlotGain*(busyFraction-usage)
+	c.refused = false
+	c.level = min(max(c.level, 0), maxControlledLevel)
+}
+
+// targetPart returns the part of the requests whose calls would use the capacity.
+func (c *waitController) targetPart(backend capacity) float64 {
+	before := c.history[0].part
+	if backend.perSecond == 0 || c.perSecond == 0 {
+		return before * maxGrowth
 	}
-	c.level = min(max(c.level+levelGain*elapsed*deviation, 0), maxControlledLevel)
+	return before * backend.perSecond / c.perSecond
 }
