Guard: the capacity of a full deep service is what ends, not what successful calls take

Calls that hang or fail late hold slots for longer, so it saw room where there was none, and never raised the level.

Test: TestDeepServiceBeyondCapacity with calls that are never answered.

--- a/internal/vm/dfpguard/chain_test.go
+++ b/internal/vm/dfpguard/chain_test.go
@@ -28,6 +28,8 @@
 	// entries holds the levels that the requests of each entry node have met; entryCount is their number.
 	entries    []*dfproute.ChainLevels
 	entryCount int
+	// hanging is the part of the calls to the deep service that are never answered.
+	hanging float64
 	// hops holds the levels that the calls of each backend server in between have met: those of the service that
 	// calls the deep one first.
 	hops   [chainHops][]*dfproute.ChainLevels
@@ -228,6 +230,9 @@
 
 func (d *deepServer) start(f *chainFleet, handle dfpguard.Handle) {
 	guard := d.guard
+	if f.rng.Float64() < f.hanging {
+		return
+	}
 	took := time.Duration((0.5 + f.rng.Float64()) * float64(deepWork))
 	f.after(took, func() {
 		if d.guard != guard || d.ended[handle] == nil {
@@ -273,17 +278,21 @@
 		entries int
 		servers int
 		load    float64
+		hanging float64
 	}{
-		{"two backend servers", 16, 2, 1},
-		{"two backend servers, half more load", 16, 2, 1.5},
-		{"one backend server", 16, 1, 1},
-		{"one backend server, half more load", 16, 1, 1.5},
-		{"one backend server, half more load, many entry nodes", 48, 1, 1.5},
-		{"one backend server, thrice the load, many entry nodes", 96, 1, 3},
+		{"two backend servers", 16, 2, 1, 0},
+		{"two backend servers, half more load", 16, 2, 1.5, 0},
+		{"one backend server", 16, 1, 1, 0},
+		{"one backend server, half more load", 16, 1, 1.5, 0},
+		{"one backend server, half more load, many entry nodes", 48, 1, 1.5, 0},
+		{"one backend server, thrice the load, many entry nodes", 96, 1, 3, 0},
+		{"two backend servers, one call in fifty hangs", 16, 2, 1, 0.02},
+		{"two backend servers, one call in ten hangs", 16, 2, 1, 0.1},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			const restart, stop = 20, 40
 			f := newChainFleet(7, tc.entries, tc.servers, tc.load, stop*time.Second)
+			f.hanging = tc.hanging
 			f.run(restart * time.Second)
 			f.restart()
 			f.run(stop * time.Second)
@@ -292,7 +301,8 @@
 				perRequest += r.perSecond * float64(r.chains*r.calls)
 				rate += r.perSecond
 			}
-			capacity := float64(tc.servers) * 0.95 * deepSlots / deepWork.Seconds()
+			meanWork := (1-tc.hanging)*deepWork.Seconds() + tc.hanging*deepTimeout.Seconds()
+			capacity := float64(tc.servers) * 0.95 * deepSlots / meanWork
 			possible := min(rate, capacity/(perRequest/rate))
 			sum := func(counts []int, from, to int) float64 {
 				n := 0
--- a/internal/vm/dfpguard/guard.go
+++ b/internal/vm/dfpguard/guard.go
@@ -158,6 +158,7 @@
 		g.limiter.saturated = true
 	}
 	if g.queue.len() >= g.queueLimit() {
+		g.waitControl.overflowed = true
 		victim, ok := g.queue.displace(req)
 		if !ok {
 			g.admission.recordOverflow(req.Importance)
@@ -246,6 +247,7 @@
 		panic(fmt.Sprintf("dfpguard: handle %d ended but was not running", h))
 	}
 	delete(g.running, h)
+	g.waitControl.ended++
 }
 
 // setClock moves the clock on and records the slot usage since its last reading.
--- a/internal/vm/dfpguard/steer.go
+++ b/internal/vm/dfpguard/steer.go
@@ -17,11 +17,14 @@
 type waitController struct {
 	level      float64
 	lastUpdate time.Time
-	// arrivals counts calls since the last update, and perSecond is their smoothed rate.
-	arrivals  int
-	perSecond float64
+	// arrivals and ended count calls since the last update.
+	arrivals, ended int
+	// arrivalRate and endRate are the smoothed rates of both, in calls a second.
+	arrivalRate, endRate float64
 	// history holds the admitted parts of the last effectDelay, a value for each update, the oldest first.
 	history []admittedAt
+	// overflowed is set if a call was refused since the last update because the queue was full.
+	overflowed bool
 	// refused is set if a call was refused since the last update, for a limit that the backend server names. The
 	// queue is then too short for the waiting time to tell how many calls are beyond the limit.
 	refused bool
@@ -38,7 +41,8 @@
 	// waiting is how long a call waits now, usage the fraction of the slots in use.
 	waiting time.Duration
 	usage   float64
-	// perSecond is the rate of calls that the slots allow; 0 if it is not known yet.
+	// perSecond is the rate of calls that the slots allow by the mean service time of successful calls; 0 if it is not
+	// known yet.
 	perSecond float64
 }
 
@@ -48,13 +52,16 @@
 	targetWait = 25 * time.Millisecond
 	// effectDelay is the time after which a changed level shows in the arriving calls.
 	effectDelay = time.Second
-	// rateTime is the time constant of the smoothed rate of arrivals.
+	// rateTime is the time constant of the smoothed rates.
 	rateTime = 300 * time.Millisecond
 	// raiseTime and lowerTime are the time constants with which the level is raised and lowered.
 	raiseTime = 300 * time.Millisecond
 	lowerTime = time.Second
 	// drainTime is the time in which a queue is to be worked off.
 	drainTime = time.Second
+	// overflowFactor is the part of the capacity that is aimed at while the queue is full. Requests whose first call is
+	// refused make no others, so fewer calls arrive than the admitted requests would make.
+	overflowFactor = 0.7
 	// maxGrowth is the factor by which the admitted part may grow in lowerTime. Arrivals tell little about a level at
 	// which few requests are admitted.
 	maxGrowth = 4.0
@@ -78,11 +85,13 @@
 		return
 	}
 	if c.lastUpdate.IsZero() || age > effectDelay {
-		c.perSecond, c.history = 0, nil
+		c.arrivalRate, c.endRate, c.history = 0, 0, nil
 	}
 	elapsed := min(age, 2*window).Seconds()
-	c.perSecond += (float64(c.arrivals)/age.Seconds() - c.perSecond) * -math.Expm1(-elapsed/rateTime.Seconds())
-	c.lastUpdate, c.arrivals = now, 0
+	weight := -math.Expm1(-elapsed / rateTime.Seconds())
+	c.arrivalRate += weight * (float64(c.arrivals)/age.Seconds() - c.arrivalRate)
+	c.endRate += weight * (float64(c.ended)/age.Seconds() - c.endRate)
+	c.lastUpdate, c.arrivals, c.ended = now, 0, 0
 	part := 1 - c.level/entryLevels
 	c.history = append(c.history, admittedAt{now, part})
 	for len(c.history) > 1 && now.Sub(c.history[1].at) >= effectDelay {
@@ -92,21 +101,26 @@
 	case c.refused:
 		c.level += limitGain * elapsed
 	case backend.waiting > targetWait:
+		// All slots are in use, so what ends now is the capacity, with the calls that fail or hang.
+		backend.perSecond = min(backend.perSecond, c.endRate)
+		if c.overflowed {
+			backend.perSecond *= overflowFactor
+		}
 		target := c.targetPart(backend) / (1 + (backend.waiting-targetWait).Seconds()/drainTime.Seconds())
 		c.level = entryLevels * (1 - part*math.Pow(min(target/part, 1), min(elapsed/raiseTime.Seconds(), 1)))
 	case backend.usage <= busyFraction:
 		growth := min(max(c.targetPart(backend)/part, 1), maxGrowth)
 		c.level = entryLevels * (1 - part*math.Pow(growth, elapsed/lowerTime.Seconds()))
 	}
-	c.refused = false
+	c.refused, c.overflowed = false, false
 	c.level = min(max(c.level, 0), maxControlledLevel)
 }
 
 // targetPart returns the part of the requests whose calls would use the capacity.
 func (c *waitController) targetPart(backend capacity) float64 {
 	before := c.history[0].part
-	if backend.perSecond == 0 || c.perSecond == 0 {
+	if backend.perSecond == 0 || c.arrivalRate == 0 {
 		return before * maxGrowth
 	}
-	return before * backend.perSecond / c.perSecond
+	return before * backend.perSecond / c.arrivalRate
 }
