--- a/internal/vm/dfpguard/guard.go
+++ b/internal/vm/dfpguard/guard.go
@@ -272,7 +272,9 @@
 	if g.cfg.Mode == ModeAdaptive {
 		g.limiter.advance(g.now)
 		if g.cfg.QueueNested {
-			g.waitControl.advance(g.now, g.cfg.Window, capacity{g.slotDelay(g.queue.len()), g.usage(), g.capacityPerSecond()})
+			g.waitControl.advance(g.now, g.cfg.Window, backendState{
+				waiting: g.slotDelay(g.queue.len()), usage: g.usage(), perSecond: g.capacityPerSecond(),
+			})
 		}
 		g.admission.advance(g.now, g.window(), g.queue, g.queueLimit())
 		if g.cfg.QueueNested {
--- a/internal/vm/dfpguard/steer.go
+++ b/internal/vm/dfpguard/steer.go
@@ -36,8 +36,8 @@
 	part float64
 }
 
-// capacity is what the controller knows of its backend server.
-type capacity struct {
+// backendState is what the controller knows of its backend server.
+type backendState struct {
 	// waiting is how long a call waits now, usage the fraction of the slots in use.
 	waiting time.Duration
 	usage   float64
@@ -79,7 +79,7 @@
 )
 
 // advance moves the level by what has arrived since the last update.
-func (c *waitController) advance(now time.Time, window time.Duration, backend capacity) {
+func (c *waitController) advance(now time.Time, window time.Duration, backend backendState) {
 	age := now.Sub(c.lastUpdate)
 	if age < window {
 		return
@@ -117,7 +117,7 @@
 }
 
 // targetPart returns the part of the requests whose calls would use the capacity.
-func (c *waitController) targetPart(backend capacity) float64 {
+func (c *waitController) targetPart(backend backendState) float64 {
 	before := c.history[0].part
 	if backend.perSecond == 0 || c.arrivalRate == 0 {
 		return before * maxGrowth
