--- a/internal/vm/dfpguard/steer.go
+++ b/internal/vm/dfpguard/steer.go
@@ -88,15 +88,28 @@
 		c.arrivalRate, c.endRate, c.history = 0, 0, nil
 	}
 	elapsed := min(age, 2*window).Seconds()
+	c.measure(now, age, elapsed)
+	c.move(elapsed, backend)
+}
+
+// measure updates the rates and the history of the admitted part by the calls of the given age.
+func (c *waitController) measure(now time.Time, age time.Duration, elapsed float64) {
 	weight := -math.Expm1(-elapsed / rateTime.Seconds())
 	c.arrivalRate += weight * (float64(c.arrivals)/age.Seconds() - c.arrivalRate)
 	c.endRate += weight * (float64(c.ended)/age.Seconds() - c.endRate)
 	c.lastUpdate, c.arrivals, c.ended = now, 0, 0
-	part := 1 - c.level/entryLevels
-	c.history = append(c.history, admittedAt{now, part})
+	c.history = append(c.history, admittedAt{now, c.admittedPart()})
 	for len(c.history) > 1 && now.Sub(c.history[1].at) >= effectDelay {
 		c.history = c.history[1:]
 	}
+}
+
+// admittedPart returns the part of the requests that the level admits.
+func (c *waitController) admittedPart() float64 { return 1 - c.level/entryLevels }
+
+// move moves the level towards the part of the requests that would use the capacity.
+func (c *waitController) move(elapsed float64, backend backendState) {
+	part := c.admittedPart()
 	switch {
 	case c.refused:
 		c.level += limitGain * elapsed
--- a/internal/vm/dfpnode/dfpnode_guard.go
+++ b/internal/vm/dfpnode/dfpnode_guard.go
@@ -260,12 +260,7 @@
 	if dependence == dfpcall.Independent {
 		load.NestedLevel = 0
 	}
-	switch out := out.(type) {
-	case *dfpcall.Answer:
-		out.NestedLevel, out.Dependence = load.NestedLevel, dependence
-	case *dfpcall.Unknown:
-		out.NestedLevel = load.NestedLevel
-	}
+	setNested(out, load.NestedLevel, dependence)
 	nestedFailed := running.finish(out, load.Level(), dependence != dfpcall.Independent && n.nested.failedRecently(now))
 	n.guard.finish(now, handle, now.Sub(started), classifyRun(out, nestedFailed))
 	n.metrics.guardRan.Add(1)
@@ -276,6 +271,16 @@
 	return out
 }
 
+// setNested stores in an outcome the level that nested calls met, and whether its class depends on them.
+func setNested(out dfpcall.Outcome, level dfpcall.Level, dependence dfpcall.Dependence) {
+	switch out := out.(type) {
+	case *dfpcall.Answer:
+		out.NestedLevel, out.Dependence = level, dependence
+	case *dfpcall.Unknown:
+		out.NestedLevel = level
+	}
+}
+
 // classOf returns the id of the route of a request; empty if the rules in force have none for it.
 func (n *Node) classOf(req *dfpcall.Request) string {
 	if req.Class != "" {
--- a/internal/zone/dfproute/chain.go
+++ b/internal/zone/dfproute/chain.go
@@ -67,12 +67,10 @@
 	AdmittedAsProbe
 	// AdmittedWithoutReport means that no recent request has reported a level.
 	AdmittedWithoutReport
-	verdictCount
+	// VerdictCount is the number of verdicts.
+	VerdictCount
 )
 
-// VerdictCount is the number of verdicts.
-const VerdictCount = int(verdictCount)
-
 // Admits reports whether a root request of a route is admitted.
 func (l *ChainLevels) Admits(now time.Time, route string, importance dfpcall.Importance, cohort uint8) bool {
 	return l.Decide(now, route, importance, cohort) != Refused
