Routing: a limited VM's refusal reports the level that it was made for

A VM whose backend server names a limit was skipped for the level of its nested calls, and the refusal reported the VM's own level, mostly 0, since both were one number before. Entries would have gone on admitting.

Test: TestNestedLevelOfLimitedVM, 0 before, 300 now.

--- a/internal/zone/dfproute/chain.go
+++ b/internal/zone/dfproute/chain.go
@@ -108,7 +108,8 @@
 	return dfpcall.Level(loadFloat(&chain.level))
 }
 
-// allowProbe reports whether a request below the level is admitted as a probe, and counts it as refused if not.
+// allowProbe reports whether a request below the level is admitted as a probe. It counts the request as refused
+// otherwise.
 func (c *chainLevel) allowProbe(now time.Time) bool {
 	refused, last := c.refused.Add(1), c.probedAt.Load()
 	reported := c.at.Load()
--- a/internal/zone/dfproute/router_test.go
+++ b/internal/zone/dfproute/router_test.go
@@ -390,3 +390,15 @@
 		})
 	}
 }
+
+// TestNestedLevelOfLimitedVM guards against a refusal that reports a lower level than the one it was made for: entries
+// would go on admitting what the same VM refuses.
+func TestNestedLevelOfLimitedVM(t *testing.T) {
+	const level = dfpcall.Level(300)
+	r := newRouter(dfproute.Config{}, vmsOf(1, "ost-1"))
+	notice := &dfpcall.InstanceNotice{}
+	notice.Limited, notice.Rate = true, 10
+	r.Observe(epoch, "ost-1/0", dfpcall.Load{AdmitCohorts: dfpcall.Cohorts, NestedLevel: level, Notice: notice})
+	refusal := r.Choose(epoch, newRand(), ordering).(*dfproute.Refusal)
+	assert.Equal(t, refusal.Level, level)
+}
--- a/internal/zone/dfproute/state.go
+++ b/internal/zone/dfproute/state.go
@@ -131,7 +131,8 @@
 )
 
 // packLoad encodes a load in one word, from the lowest bit: 16 bits for the sum of in flight and queued, 16 for
-// the limit, 8 each for importance and cohorts, one for draining, one that is always set, one for a named rate, and 9 for the nested level.
+// the limit, 8 each for importance and cohorts, one for draining, one that is always set, one for a named rate, and 9
+// for the nested level.
 func packLoad(l dfpcall.Load) uint64 {
 	word := uint64(clamp16(l.InFlight+l.Queued)) | uint64(clamp16(l.Limit))<<16 |
 		uint64(l.AdmitImportance)<<32 | uint64(l.AdmitCohorts)<<40
@@ -206,8 +207,9 @@
 // importances because of it. It also returns the VM's admission level.
 func (s *vmState) limited(now time.Time, class *classStats, importance dfpcall.Importance, cohort uint8) (dfpcall.Level, bool) {
 	l, _ := s.freshLoad(now)
-	_, refuses := s.refuses(now, class, importance, cohort)
-	return l.load.Level() % dfpcall.MaxLevel, now.UnixNano() < s.limitedUntil.Load() || refuses && l.rateLimited
+	level, refuses := s.refuses(now, class, importance, cohort)
+	level = max(level, l.load.Level()) % dfpcall.MaxLevel
+	return level, now.UnixNano() < s.limitedUntil.Load() || refuses && l.rateLimited
 }
 
 // callStarted records that a call of a class is sent to the VM.
