Model of a deep service: fewer arguments and no unused fields

The sequence of calls is a struct in place of five arguments with two closures, ranks and a counter that no case used are gone, routes are keyed.

--- a/internal/vm/dfpguard/chain_test.go
+++ b/internal/vm/dfpguard/chain_test.go
@@ -34,9 +34,8 @@
 	// calls the deep one first.
 	hops   [chainHops][]*dfproute.ChainLevels
 	routes []chainRoute
-	// sent, served and deepRuns count by second of virtual time: requests first sent, requests served, and calls that
-	// ran at the deep service.
-	sent, served, deepRuns []int
+	// served and deepRuns count by second of virtual time: requests served, and calls that ran at the deep service.
+	served, deepRuns []int
 }
 
 // chainRoute is one route of an entry node.
@@ -44,15 +43,25 @@
 	name string
 	// perSecond is the rate of requests over all entry nodes.
 	perSecond float64
-	// work comes before the first of the calls to the deep service, of which each chain makes its own in sequence.
-	work   time.Duration
-	chains int
+	// work is the time before the first call to the deep service.
+	work time.Duration
+	// chains is how many sequences of calls a request makes at once, and calls the number of calls in each.
+	chains, calls int
 	// hops is the number of services between entry and deep service.
 	hops    int
-	calls   int
 	timeout time.Duration
-	// low and high are the ranks of the route's requests.
-	low, high int
+}
+
+// deepCalls is what is left of one sequence of calls to the deep service.
+type deepCalls struct {
+	number int
+	// caller holds the levels of the backend server that makes the calls.
+	caller *dfproute.ChainLevels
+	// expires is when the request ends, in virtual time, and gone reports whether it has ended before.
+	expires time.Duration
+	gone    func() bool
+	// end receives whether all calls succeeded.
+	end func(ok bool)
 }
 
 // deepServer is one backend server of the deep service behind its guard.
@@ -63,13 +72,15 @@
 }
 
 const (
-	chainHops      = 3
-	serversPerHop  = 4
-	deepSlots      = 35
-	deepWork       = 40 * time.Millisecond
-	deepTimeout    = 700 * time.Millisecond
-	chainRetry     = time.Second
-	callerDeadline = 5 * time.Second
+	chainHops     = 3
+	serversPerHop = 4
+	deepSlots     = 35
+	deepWork      = 40 * time.Millisecond
+	deepTimeout   = 700 * time.Millisecond
+	// betweenDeepCalls is the time from the end of one call of a sequence to the next.
+	betweenDeepCalls = 4 * time.Millisecond
+	chainRetry       = time.Second
+	callerDeadline   = 5 * time.Second
 	// minServed is the least part to be served of the requests for which the deep service has room.
 	minServed = 0.7
 )
@@ -77,10 +88,10 @@
 func newChainFleet(seed uint64, entries, servers int, load float64, until time.Duration) *chainFleet {
 	f := &chainFleet{entryCount: entries, rng: rand.New(rand.NewPCG(seed, 1))}
 	seconds := int(until/time.Second) + 1
-	f.sent, f.served, f.deepRuns = make([]int, seconds), make([]int, seconds), make([]int, seconds)
+	f.served, f.deepRuns = make([]int, seconds), make([]int, seconds)
 	f.routes = []chainRoute{
-		{"browse", 247 * load, 190 * time.Millisecond, 1, 3, 4, 1200 * time.Millisecond, 0, 384},
-		{"order", 103 * load, 225 * time.Millisecond, 2, 2, 4, 1200 * time.Millisecond, 0, 384},
+		{name: "browse", perSecond: 247 * load, work: 190 * time.Millisecond, chains: 1, calls: 4, hops: 3, timeout: 1200 * time.Millisecond},
+		{name: "order", perSecond: 103 * load, work: 225 * time.Millisecond, chains: 2, calls: 4, hops: 2, timeout: 1200 * time.Millisecond},
 	}
 	for range servers {
 		f.deep = append(f.deep, &deepServer{ended: map[dfpguard.Handle]func(bool){}})
@@ -139,7 +150,6 @@
 
 func (f *chainFleet) arriveNext(r *chainRoute) {
 	f.after(time.Duration(f.rng.ExpFloat64()/r.perSecond*float64(time.Second)), func() {
-		f.sent[f.now/time.Second]++
 		f.request(r, f.rng.IntN(f.entryCount), 1, f.now+callerDeadline)
 		f.arriveNext(r)
 	})
@@ -147,7 +157,7 @@
 
 // request sends a request to an entry node.
 func (f *chainFleet) request(r *chainRoute, entry, repeats int, deadline time.Duration) {
-	rank := r.low + f.rng.IntN(r.high-r.low)
+	rank := f.rng.IntN(int(dfpcall.Critical) * dfpcall.Cohorts)
 	importance, cohort := dfpcall.Importance(rank/dfpcall.Cohorts), uint8(dfpcall.Cohorts-1-rank%dfpcall.Cohorts)
 	levels := f.entries[entry]
 	failed := func(after time.Duration) {
@@ -159,7 +169,7 @@
 		failed(chainRetry/2 + time.Duration(f.rng.Int64N(int64(chainRetry))))
 		return
 	}
-	began := f.now
+	expires := f.now + r.timeout
 	open, ended := r.chains, false
 	first := f.hops[r.hops-1][f.rng.IntN(serversPerHop)]
 	end := func(ok bool) {
@@ -186,37 +196,41 @@
 			for hop := r.hops - 2; hop >= 0; hop-- {
 				path = append(path, f.hops[hop][f.rng.IntN(serversPerHop)])
 			}
-			f.callDeep(path[len(path)-1], r.calls, func() time.Duration { return r.timeout - (f.now - began) }, func() bool { return ended }, func(ok bool) {
-				for i := len(path) - 2; i >= 0; i-- {
-					path[i].Observe(f.clock(), "", path[i+1].Level(f.clock(), ""))
-				}
-				end(ok)
+			f.callDeep(deepCalls{
+				number: r.calls, caller: path[len(path)-1], expires: expires, gone: func() bool { return ended },
+				end: func(ok bool) {
+					for i := len(path) - 2; i >= 0; i-- {
+						path[i].Observe(f.clock(), "", path[i+1].Level(f.clock(), ""))
+					}
+					end(ok)
+				},
 			})
 		}
 	})
 }
 
-// callDeep makes calls to the deep service in sequence.
-func (f *chainFleet) callDeep(middle *dfproute.ChainLevels, calls int, left func() time.Duration, gone func() bool, end func(bool)) {
-	if calls == 0 {
-		end(true)
+// callDeep makes the calls of a sequence, one after the other.
+func (f *chainFleet) callDeep(calls deepCalls) {
+	if calls.number == 0 {
+		calls.end(true)
 		return
 	}
-	if gone() {
+	if calls.gone() {
 		return
 	}
 	d := f.deep[f.rng.IntN(len(f.deep))]
 	f.handles++
 	handle := f.handles
 	d.ended[handle] = func(ok bool) {
-		middle.Observe(f.clock(), "", d.guard.Load(f.clock()).Level())
+		calls.caller.Observe(f.clock(), "", d.guard.Load(f.clock()).Level())
 		if !ok {
-			end(false)
+			calls.end(false)
 			return
 		}
-		f.after(4*time.Millisecond, func() { f.callDeep(middle, calls-1, left, gone, end) })
+		calls.number--
+		f.after(betweenDeepCalls, func() { f.callDeep(calls) })
 	}
-	timeout := min(deepTimeout, left())
+	timeout := min(deepTimeout, calls.expires-f.now)
 	f.after(timeout, func() { d.cancel(f, handle) })
 	decision, effects := d.guard.Arrive(f.clock(), dfpguard.Request{Handle: handle, Importance: dfpcall.Critical, Deadline: f.clock().Add(timeout)})
 	d.apply(f, effects)
@@ -274,10 +288,11 @@
 // all requests fail for one of them. It runs several times the load that few backend servers take.
 func TestDeepServiceBeyondCapacity(t *testing.T) {
 	for _, tc := range []struct {
-		name    string
-		entries int
-		servers int
-		load    float64
+		name             string
+		entries, servers int
+		// load is in multiples of the usual one.
+		load float64
+		// hanging is the part of the calls to the deep service that are never answered.
 		hanging float64
 	}{
 		{"two backend servers", 16, 2, 1, 0},
--- a/internal/vm/dfpguard/guard.go
+++ b/internal/vm/dfpguard/guard.go
@@ -300,8 +300,8 @@
 	return float64(len(g.running)) / float64(g.limit())
 }
 
-// capacityPerSecond returns the rate of requests that the limit, or the limit that the backend server names, allows; 0
-// if it is not known yet.
+// capacityPerSecond returns how many requests a second the limit on those in flight allows, or the rate that the backend
+// server names, if any; 0 if it is not known yet.
 func (g *Guard) capacityPerSecond() float64 {
 	switch {
 	case g.rate.limited:
