--- a/review/harness-2/site.go
+++ b/review/harness-2/site.go
@@ -122,11 +122,12 @@
 	}
 	s.addr = l.Addr().String()
 	s.group.Go(func() { _ = http.Serve(l, s.store) })
+	addresses, err := freeAddresses(5 * len(machines))
+	if err != nil {
+		return nil, err
+	}
 	for i, m := range machines {
-		a, err := freeAddresses(5)
-		if err != nil {
-			return nil, err
-		}
+		a := addresses[5*i:]
 		n := &node{
 			name: fmt.Sprintf("sidecar-%s-%d", m.zone, i+1), zone: m.zone, region: m.region, service: m.service,
 			inbound: a[0], outbound: a[1], ready: a[2], control: a[3], app: a[4],
