--- a/review/harness-2/site.go
+++ b/review/harness-2/site.go
@@ -145,7 +145,11 @@
 			return nil, err
 		}
 	}
-	return s, s.waitReady(20 * time.Second)
+	if err := s.waitReady(20 * time.Second); err != nil {
+		s.stop()
+		return nil, err
+	}
+	return s, nil
 }
 
 func (s *site) writeSettings(n *node, machines []machine) error {
