--- /dev/null
+++ b/internal/link/dfpanswer/dfpanswer.go
@@ -0,0 +1,82 @@
+// Package dfpanswer decides what is an answer. It is the HTTP transport of everything in a node that reads answers:
+// those of backend servers, of the platform's store and of other nodes.
+//
+// net/http passes on some answers that are broken. The transport therefore also watches the connections, and returns an
+// error that wraps ErrInvalid for them.
+//
+// net/http writes a request and reads its answer at the same time. Linux reports a reset of the connection
+// once, to the call that comes first. If that is a write, the next read returns io.EOF, which looks like the end of an
+// answer without a length. A read here returns io.EOF only if no write has failed.
+//
+// # Usage
+//
+//	transport := dfpanswer.New(dfpanswer.Config{IdleTimeout: 2 * time.Second})
+//	resp, err := transport.RoundTrip(req) // Or as the Transport of an http.Client.
+package dfpanswer
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+)
+
+// ErrInvalid is wrapped by the errors for bytes that are no whole answer.
+var ErrInvalid = errors.New("invalid answer")
+
+// defaultMaxHeader is the default of Config.MaxHeader.
+const defaultMaxHeader = 64 << 10
+
+// Config sets the limits of a transport. Zero fields take the defaults.
+type Config struct {
+	// Dial opens a connection; net.Dialer.DialContext by default.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// MaxConnections limits the open connections to one address; 0 means no limit.
+	MaxConnections int
+	// MaxIdleConnections limits the idle connections to one address; 2 by default.
+	MaxIdleConnections int
+	// IdleTimeout is how long an idle connection is kept open; 0 means no limit.
+	IdleTimeout time.Duration
+	// DisableKeepAlives makes each connection serve one request.
+	DisableKeepAlives bool
+	// MaxHeader is the maximum size of the head of an answer in bytes; 64 KiB by default.
+	MaxHeader int64
+}
+
+// Transport is an http.RoundTripper that returns only valid answers. It asks for no content encoding. It is safe for
+// concurrent use.
+type Transport struct{ http *http.Transport }
+
+// New returns a transport with its own connection pool.
+func New(cfg Config) *Transport {
+	if cfg.Dial == nil {
+		cfg.Dial = new(net.Dialer).DialContext
+	}
+	if cfg.MaxHeader == 0 {
+		cfg.MaxHeader = defaultMaxHeader
+	}
+	return &Transport{&http.Transport{
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			c, err := cfg.Dial(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return &conn{Conn: c}, nil
+		},
+		MaxConnsPerHost:        cfg.MaxConnections,
+		MaxIdleConnsPerHost:    cfg.MaxIdleConnections,
+		IdleConnTimeout:        cfg.IdleTimeout,
+		DisableCompression:     true,
+		DisableKeepAlives:      cfg.DisableKeepAlives,
+		MaxResponseHeaderBytes: cfg.MaxHeader,
+	}}
+}
+
+// RoundTrip implements http.RoundTripper. Errors for broken answers wrap ErrInvalid or are those of net/http.
+func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
+	return t.http.RoundTrip(req)
+}
+
+// CloseIdleConnections closes the idle connections.
+func (t *Transport) CloseIdleConnections() { t.http.CloseIdleConnections() }
--- a/internal/link/dfpbackend/dfpbackend.go
+++ b/internal/link/dfpbackend/dfpbackend.go
@@ -32,6 +32,7 @@
 	"time"
 
 	"dragonflyport/internal/contract/dfpcall"
+	"dragonflyport/internal/link/dfpanswer"
 )
 
 // Headers that are set on each request to the backend server.
@@ -90,7 +91,7 @@
 // Client runs requests on backend servers. It is safe for concurrent use.
 type Client struct {
 	cfg       Config
-	transport *http.Transport
+	transport *dfpanswer.Transport
 }
 
 // New returns a client with its own connection pool.
@@ -107,15 +108,13 @@
 	if cfg.Dial == nil {
 		cfg.Dial = new(net.Dialer).DialContext
 	}
-	return &Client{cfg: cfg, transport: &http.Transport{
-		DialContext:         cfg.dial,
-		MaxConnsPerHost:     cfg.MaxConnections,
-		MaxIdleConnsPerHost: max(cfg.MaxConnections, 64),
-		IdleConnTimeout:     cfg.IdleTimeout,
-		DisableCompression:  true,
-
-		MaxResponseHeaderBytes: maxAnswerHeader,
-	}}
+	return &Client{cfg: cfg, transport: dfpanswer.New(dfpanswer.Config{
+		Dial:               cfg.dial,
+		MaxConnections:     cfg.MaxConnections,
+		MaxIdleConnections: max(cfg.MaxConnections, 64),
+		IdleTimeout:        cfg.IdleTimeout,
+		MaxHeader:          maxAnswerHeader,
+	})}
 }
 
 // Refuses reports whether no process accepts connections at the address. It returns false if ctx ends first.
--- a/internal/link/dfpbackend/dfpbackend_test.go
+++ b/internal/link/dfpbackend/dfpbackend_test.go
@@ -17,6 +17,7 @@
 
 	"dragonflyport/internal/contract/dfpcall"
 	"dragonflyport/internal/link/dfpbackend"
+	"dragonflyport/internal/standin/dfprawserver"
 )
 
 // rawServer answers the requests of each connection with the given answers in turn and closes the
@@ -278,3 +279,46 @@
 		})
 	}
 }
+
+// startScript starts a server that the test stops at its end.
+func startScript(t *testing.T, script dfprawserver.Script) *dfprawserver.Server {
+	t.Helper()
+	server, err := dfprawserver.Start(script)
+	assert.NilError(t, err)
+	t.Cleanup(func() { assert.NilError(t, server.Close()) })
+	return server
+}
+
+// TestAnswerBeforeBodyIsRead has the backend server answer a long request at once, without a length. The answer counts
+// only if the connection was not reset.
+func TestAnswerBeforeBodyIsRead(t *testing.T) {
+	const raw = "HTTP/1.1 200 OK\r\n\r\n0123456789"
+	for _, tc := range []struct {
+		name   string
+		script dfprawserver.Script
+		want   string
+	}{
+		{"ended", dfprawserver.Script{Raw: raw, End: dfprawserver.Finish}, "answer 200 0123456789"},
+		{"reset", dfprawserver.Script{Raw: raw, End: dfprawserver.Reset}, "unknown backend_failed"},
+		{"reset after 20 ms", dfprawserver.Script{Raw: raw, Pause: 20 * time.Millisecond, End: dfprawserver.Reset}, "unknown backend_failed"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			server, client := startScript(t, tc.script), newClient(t, dfpbackend.Config{})
+			for range 20 {
+				out, _ := client.Run(t.Context(), server.Address, &dfpcall.Request{Method: "POST", Path: "/order", Body: make([]byte, 7<<20)}, "token")
+				assert.Equal(t, describe(out), tc.want)
+			}
+		})
+	}
+}
+
+// TestValidAnswers has the backend server send each kind of answer: it is passed on unchanged.
+func TestValidAnswers(t *testing.T) {
+	for _, answer := range dfprawserver.Valid("X-Own: 1\r\n") {
+		t.Run(answer.Name, func(t *testing.T) {
+			server, client := startScript(t, answer.Script()), newClient(t, dfpbackend.Config{})
+			out, _ := client.Run(t.Context(), server.Address, &dfpcall.Request{Method: "POST", Path: "/order"}, "token")
+			assert.Equal(t, describe(out), fmt.Sprintf("answer %d %s", answer.Status, answer.Body))
+		})
+	}
+}
--- a/internal/link/dfppeer/mesh.go
+++ b/internal/link/dfppeer/mesh.go
@@ -13,6 +13,7 @@
 
 	"dragonflyport/internal/contract/dfpcall"
 	"dragonflyport/internal/contract/dfponce"
+	"dragonflyport/internal/link/dfpanswer"
 )
 
 // Mesh holds a node's connections to the other nodes.
@@ -45,10 +46,7 @@
 func New(cfg Config) *Mesh {
 	m := &Mesh{cfg: cfg.withDefaults(), epoch: time.Now()}
 	m.ctx, m.cancel = context.WithCancel(context.Background())
-	m.client = &http.Client{Transport: &http.Transport{
-		DialContext:       m.dial,
-		DisableKeepAlives: true,
-	}}
+	m.client = &http.Client{Transport: dfpanswer.New(dfpanswer.Config{Dial: m.dial, DisableKeepAlives: true})}
 	m.SetSecret(m.cfg.Secret)
 	m.peers.Store(&map[string]*peer{})
 	for i := range m.inboundShards {
--- a/internal/link/dfpplatform/connect.go
+++ b/internal/link/dfpplatform/connect.go
@@ -10,6 +10,7 @@
 
 	"connectrpc.com/connect"
 
+	"dragonflyport/internal/link/dfpanswer"
 	pb "dragonflyport/internal/proto/dfpplatformpb"
 )
 
@@ -20,15 +21,12 @@
 
 // connectTransport implements proto/platform.proto.
 type connectTransport struct {
-	http *http.Transport
+	http *dfpanswer.Transport
 	rpc  pb.KeyValueServiceClient
 }
 
 func newConnectTransport(cfg Config) *connectTransport {
-	transport := &http.Transport{
-		DialContext:     markDialErrors(cfg.Dial),
-		IdleConnTimeout: idleConnTimeout,
-	}
+	transport := dfpanswer.New(dfpanswer.Config{Dial: markDialErrors(cfg.Dial), IdleTimeout: idleConnTimeout})
 	rpc := pb.NewKeyValueServiceClient(&http.Client{Transport: transport}, cfg.URL, connect.WithReadMaxBytes(maxAnswerBytes))
 	return &connectTransport{http: transport, rpc: rpc}
 }
