Answers: bytes whose status line is invalid are no answer (status 000)

What callers saw: a backend server sends an answer with status 000, 001, 042, 099 or +20. The node that writes it to the caller panics, and the caller's connection is closed without an answer; with 600 to 999, HTTP/0.9 or HTTP/2.0, or 101 that no request asked for, the caller gets it as an answer.

Cause: net/http takes any three bytes that strconv.Atoi reads, and any version with two digits, and leaves the meaning of the status to its caller, which checked nothing.

Ruled out: a check of http.Response after parsing.

Change: dfpanswer checks status lines as their bytes arrive, before net/http reads them. An answer whose head arrived before its request was sent is none either. The outcome is unknown (502), for statuses from 600 on too, as RFC 9110, section 15 has it.

--- a/internal/link/dfpanswer/conn.go
+++ b/internal/link/dfpanswer/conn.go
@@ -10,10 +10,16 @@
 	"time"
 )
 
-// conn is a connection whose reads return io.EOF only if the other side has ended it without a reset.
+// conn is a connection whose reads fail from the first byte on that is no part of a valid head, and return io.EOF only if
+// the other side has ended it without a reset.
 type conn struct {
 	net.Conn
 
+	headMu sync.Mutex
+	// head is that of the answer to the last request, and headErr says that it is invalid.
+	head    head
+	headErr error
+
 	writeMu sync.Mutex // Held during a write.
 	// writeErr is the error of the first failed write.
 	writeErr error
@@ -30,9 +36,53 @@
 	return n, err
 }
 
+// begin starts a request, whose answer is the next to arrive.
+func (c *conn) begin(upgrade bool) {
+	c.headMu.Lock()
+	defer c.headMu.Unlock()
+	c.head = head{upgrade: upgrade}
+}
+
+// checked reports whether the head of the final answer to the last request has arrived and is valid.
+func (c *conn) checked() bool {
+	c.headMu.Lock()
+	defer c.headMu.Unlock()
+	return c.head.done
+}
+
+// check checks bytes that were read, and returns how many of them may be passed on.
+func (c *conn) check(p []byte) (int, error) {
+	c.headMu.Lock()
+	defer c.headMu.Unlock()
+	begun := c.head.begun
+	c.headErr = c.head.feed(p)
+	switch {
+	case c.headErr == nil:
+		return len(p), nil
+	case begun:
+		return 0, c.headErr
+	default:
+		// net/http repeats some requests by itself if it gets an error before the first byte of an answer.
+		return 1, nil
+	}
+}
+
+// invalid returns the error of an invalid head, or nil.
+func (c *conn) invalid() error {
+	c.headMu.Lock()
+	defer c.headMu.Unlock()
+	return c.headErr
+}
+
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
+	if err := c.invalid(); err != nil {
+		return 0, err
+	}
 	n, err := c.Conn.Read(p)
+	if n > 0 {
+		return c.check(p[:n])
+	}
 	if errors.Is(err, io.EOF) {
 		err = c.end()
 	}
--- a/internal/link/dfpanswer/dfpanswer.go
+++ b/internal/link/dfpanswer/dfpanswer.go
@@ -1,8 +1,8 @@
 // Package dfpanswer decides what is an answer. It is the HTTP transport of everything in a node that reads answers:
 // those of backend servers, of the platform's store and of other nodes.
 //
-// net/http passes on some answers that are broken. The transport therefore also watches the connections, and returns an
-// error that wraps ErrInvalid for them.
+// net/http passes on some answers that are broken: those with a status below 100, for example. The transport
+// therefore also checks the status line of each answer before net/http reads it. An answer that is not valid HTTP/1.1 (RFC 9110 and 9112), or not whole, is an error.
 //
 // net/http writes a request and reads its answer at the same time. Linux reports a reset of the connection
 // once, to the call that comes first. If that is a write, the next read returns io.EOF, which looks like the end of an
@@ -17,8 +17,10 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"time"
 )
 
@@ -75,7 +77,21 @@
 
 // RoundTrip implements http.RoundTripper. Errors for broken answers wrap ErrInvalid or are those of net/http.
 func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
-	return t.http.RoundTrip(req)
+	var used *conn
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		used = info.Conn.(*conn)
+		used.begin(req.Header.Get("Upgrade") != "")
+	}}
+	resp, err := t.http.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
+	if err != nil {
+		return nil, err
+	}
+	if !used.checked() {
+		_ = resp.Body.Close()
+		_ = used.Close()
+		return nil, fmt.Errorf("%w: it arrived before its request was sent", ErrInvalid)
+	}
+	return resp, nil
 }
 
 // CloseIdleConnections closes the idle connections.
--- a/internal/link/dfpbackend/dfpbackend_test.go
+++ b/internal/link/dfpbackend/dfpbackend_test.go
@@ -312,6 +312,20 @@
 	}
 }
 
+// TestBrokenAnswers has the backend server send what is no answer: the outcome of the request is unknown at once, also
+// if the connection stays open.
+func TestBrokenAnswers(t *testing.T) {
+	for _, answer := range dfprawserver.Broken("X-Own: 1\r\n") {
+		t.Run(answer.Name, func(t *testing.T) {
+			server, client := startScript(t, answer.Script()), newClient(t, dfpbackend.Config{})
+			ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+			defer cancel()
+			out, _ := client.Run(ctx, server.Address, &dfpcall.Request{Method: "POST", Path: "/order"}, "token")
+			assert.Equal(t, describe(out), "unknown backend_failed")
+		})
+	}
+}
+
 // TestValidAnswers has the backend server send each kind of answer: it is passed on unchanged.
 func TestValidAnswers(t *testing.T) {
 	for _, answer := range dfprawserver.Valid("X-Own: 1\r\n") {
--- a/internal/standin/dfprawserver/dfprawserver.go
+++ b/internal/standin/dfprawserver/dfprawserver.go
@@ -1,10 +1,11 @@
 // Package dfprawserver is a stand-in for a server whose answers are given as bytes, whether they are valid or not.
 //
-// Valid lists the answers that every reader of answers must pass on as they are.
+// It has the answers that every reader of answers is tested with: Broken lists those that are no answers in
+// HTTP/1.1 (RFC 9110 and RFC 9112), or not whole, and Valid those that must be passed on as they are.
 //
 // # Usage
 //
-//	for _, answer := range dfprawserver.Valid("X-Own: 1\r\n") {
+//	for _, answer := range dfprawserver.Broken("X-Own: 1\r\n") {
 //		server, err := dfprawserver.Start(answer.Script())
 //		...                    // Send requests to server.Address.
 //		server.Close()
@@ -13,6 +14,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"errors"
 	"fmt"
 	"io"
@@ -38,8 +40,9 @@
 
 // Script is what a server does for each request.
 type Script struct {
-	// Raw is sent after the request's head has been read.
-	Raw string
+	// Raw is sent after the request's head has been read, and Then, if it is not empty, in its place from the second
+	// request of a connection on.
+	Raw, Then string
 	// ReadFirst reads the request's body before Raw is sent.
 	ReadFirst bool
 	// Pause is the time between Raw and End.
@@ -102,6 +105,7 @@
 		if _, err := io.WriteString(conn, s.Raw); err != nil {
 			return
 		}
+		s.Raw = cmp.Or(s.Then, s.Raw)
 		time.Sleep(s.Pause)
 		switch s.End {
 		case Reset:
@@ -138,9 +142,42 @@
 	return script
 }
 
+// untilEnd returns an answer that ends with its connection.
+func untilEnd(a Answer) Answer {
+	a.UntilEnd = true
+	return a
+}
+
 // fourBytes is the length of the body "done".
 const fourBytes = "Content-Length: 4\r\n"
 
+// Broken returns bytes that are no answer. The given field lines, each with its line end, are part of each head.
+func Broken(fields string) []Answer {
+	lines := func(name, statusLine, more, body string) Answer {
+		return Answer{Name: name, Raw: statusLine + "\r\n" + fields + more + "\r\n" + body}
+	}
+	status := func(status string) Answer {
+		return lines("status "+status, "HTTP/1.1 "+status+" X", fourBytes, "done")
+	}
+	ok := func(name, more, body string) Answer { return lines(name, "HTTP/1.1 200 OK", more, body) }
+	return []Answer{
+		status("000"), status("001"), status("042"), status("099"), status("+20"), status("-20"), status("20"),
+		status("0200"), status("2xx"), status("600"), status("999"),
+		{Name: "status 101 unasked", Raw: "HTTP/1.1 101 Switching\r\nConnection: Upgrade\r\nUpgrade: other\r\n" + fields + "\r\ndone"},
+		lines("version 0.9", "HTTP/0.9 200 OK", fourBytes, "done"),
+		lines("version 2.0", "HTTP/2.0 200 OK", fourBytes, "done"),
+		lines("no HTTP", "what", fourBytes, "done"),
+		lines("two blanks before the status", "HTTP/1.1  200 OK", fourBytes, "done"),
+		lines("control byte in the reason", "HTTP/1.1 200 O\x01K", fourBytes, "done"),
+
+		untilEnd(ok("body cut short", "Content-Length: 9\r\n", "done")),
+		untilEnd(ok("chunk cut short", "Transfer-Encoding: chunked\r\n", "9\r\ndone")),
+		untilEnd(ok("last chunk missing", "Transfer-Encoding: chunked\r\n", "4\r\ndone\r\n")),
+		ok("chunk without a length", "Transfer-Encoding: chunked\r\n", "x\r\ndone\r\n0\r\n\r\n"),
+		{Name: "head cut short", Raw: "HTTP/1.1 200 OK\r\n" + fields, UntilEnd: true},
+	}
+}
+
 // Valid returns answers that are valid and whole. The given field lines, each with its line end, are part of each
 // head.
 func Valid(fields string) []Answer {
@@ -153,7 +190,6 @@
 		a.FieldName, a.FieldValue = fieldName, fieldValue
 		return a
 	}
-	untilEnd := func(a Answer) Answer { a.UntilEnd = true; return a }
 	failure := answer("failure", "HTTP/1.1 599 Own", fourBytes, "done")
 	failure.Status = 599
 	empty := answer("204", "HTTP/1.1 204 No Content", "", "")
