Answers: a head with an invalid field, or with two lengths, is no answer (blank in a field name)

What callers saw: a backend server sends a field name with a blank. "X Bad: 1" and "X-Bad : 1" came through as an answer without that line. "Content-Length : 4" and "Transfer-Encoding : chunked" came through with a body that is not the backend server's: all bytes up to the end of the connection, and the lines of the chunks as body.

Cause: net/http takes names with blanks, keeps them under names that nothing asks for, and so misses what they say of the body's length. The same class, found on the way: Transfer-Encoding in HTTP/1.0 (dropped before the version is looked at, so the chunks' lines were the body), with a Content-Length, or with 204; a 204 with a length; a continued line; an informational answer with such a name; a trailer with such a name.

Change: dfpanswer checks the fields of each head, and what they say of its length, as their bytes arrive (RFC 9112, sections 5 and 6). Trailers, which net/http keeps, are checked at the end of a body.

Names with a tab, a control byte, a byte over 0x7f or none, lines without a colon, control bytes in values, differing lengths and bodies cut short were no answers before either; their cases stay. TestHeadInPieces: the verdict does not depend on how the bytes arrive. Valid answers pass unchanged, among them field values that are not UTF-8.

--- a/internal/link/dfpanswer/dfpanswer.go
+++ b/internal/link/dfpanswer/dfpanswer.go
@@ -1,8 +1,9 @@
 // Package dfpanswer decides what is an answer. It is the HTTP transport of everything in a node that reads answers:
 // those of backend servers, of the platform's store and of other nodes.
 //
-// net/http passes on some answers that are broken: those with a status below 100, for example. The transport
-// therefore also checks the status line of each answer before net/http reads it. An answer that is not valid HTTP/1.1 (RFC 9110 and 9112), or not whole, is an error.
+// net/http passes on some answers that are broken: with a status below 100, or with field names that hold blanks, which
+// it drops from the answer with what they say of its length. The transport therefore also checks the head of each answer
+// before net/http reads it. An answer that is not valid HTTP/1.1 (RFC 9110 and 9112), or not whole, is an error.
 //
 // net/http writes a request and reads its answer at the same time. Linux reports a reset of the connection
 // once, to the call that comes first. If that is a write, the next read returns io.EOF, which looks like the end of an
@@ -18,6 +19,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -91,8 +93,29 @@
 		_ = used.Close()
 		return nil, fmt.Errorf("%w: it arrived before its request was sent", ErrInvalid)
 	}
+	if len(resp.TransferEncoding) > 0 {
+		resp.Body = &chunkedBody{resp.Body, resp}
+	}
 	return resp, nil
 }
 
+// chunkedBody is the body of an answer in chunks. It ends with io.EOF only if the trailer is valid.
+type chunkedBody struct {
+	io.ReadCloser
+	resp *http.Response
+}
+
+// Read implements io.Reader.
+func (b *chunkedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) {
+		// net/http has read the trailer.
+		if invalid := checkTrailer(b.resp.Trailer); invalid != nil {
+			err = invalid
+		}
+	}
+	return n, err
+}
+
 // CloseIdleConnections closes the idle connections.
 func (t *Transport) CloseIdleConnections() { t.http.CloseIdleConnections() }
--- a/internal/link/dfpanswer/dfpanswer_test.go
+++ b/internal/link/dfpanswer/dfpanswer_test.go
@@ -77,6 +77,7 @@
 	const valid = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone"
 	for _, tc := range []struct{ name, second string }{
 		{"status", "HTTP/1.1 000 X\r\n\r\n"},
+		{"field name", "HTTP/1.1 200 OK\r\nX Bad: 1\r\nContent-Length: 0\r\n\r\n"},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			server, err := dfprawserver.Start(dfprawserver.Script{Raw: valid, Then: tc.second})
@@ -92,3 +93,14 @@
 		})
 	}
 }
+
+// TestBrokenTrailer reads an answer with an invalid trailer: its body has no valid end.
+func TestBrokenTrailer(t *testing.T) {
+	server, err := dfprawserver.Start(dfprawserver.BrokenTrailer().Script())
+	assert.NilError(t, err)
+	transport := dfpanswer.New(dfpanswer.Config{})
+	_, _, err = get(t.Context(), transport, server.Address)
+	assert.ErrorIs(t, err, dfpanswer.ErrInvalid)
+	transport.CloseIdleConnections()
+	assert.NilError(t, server.Close())
+}
--- a/internal/link/dfpanswer/head_test.go
+++ b/internal/link/dfpanswer/head_test.go
@@ -1,6 +1,7 @@
 package dfpanswer
 
 import (
+	"errors"
 	"strings"
 	"testing"
 
@@ -29,6 +30,34 @@
 	})
 }
 
+// TestCheck checks the status and the fields of answers that arrive over a link.
+func TestCheck(t *testing.T) {
+	fields := func(name, value string) map[string][]string { return map[string][]string{name: {"1", value}} }
+	for _, tc := range []struct {
+		name   string
+		status int
+		header map[string][]string
+		valid  bool
+	}{
+		{"success", 200, fields("X-Own", "a\tb \xff"), true},
+		{"no fields", 599, nil, true},
+		{"status 0", 0, nil, false},
+		{"informational", 101, nil, false},
+		{"status 600", 600, nil, false},
+		{"negative status", -200, nil, false},
+		{"blank in a name", 200, fields("X Own", "1"), false},
+		{"no name", 200, fields("", "1"), false},
+		{"control byte in a name", 200, fields("X\x01", "1"), false},
+		{"line end in a value", 200, fields("X-Own", "a\r\nb"), false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			err := Check(tc.status, tc.header)
+			assert.Equal(t, err == nil, tc.valid, "%v", err)
+			assert.Assert(t, err == nil || errors.Is(err, ErrInvalid))
+		})
+	}
+}
+
 // FuzzHead feeds any bytes, which must not panic, and checks that a head that is done had a valid status line.
 func FuzzHead(f *testing.F) {
 	for _, answer := range append(dfprawserver.Broken(""), dfprawserver.Valid("")...) {
--- a/internal/standin/dfprawserver/dfprawserver.go
+++ b/internal/standin/dfprawserver/dfprawserver.go
@@ -160,6 +160,8 @@
 		return lines("status "+status, "HTTP/1.1 "+status+" X", fourBytes, "done")
 	}
 	ok := func(name, more, body string) Answer { return lines(name, "HTTP/1.1 200 OK", more, body) }
+	field := func(name, line string) Answer { return ok(name, line+"\r\n"+fourBytes, "done") }
+	const chunks = "4\r\ndone\r\n0\r\n\r\n"
 	return []Answer{
 		status("000"), status("001"), status("042"), status("099"), status("+20"), status("-20"), status("20"),
 		status("0200"), status("2xx"), status("600"), status("999"),
@@ -170,6 +172,35 @@
 		lines("two blanks before the status", "HTTP/1.1  200 OK", fourBytes, "done"),
 		lines("control byte in the reason", "HTTP/1.1 200 O\x01K", fourBytes, "done"),
 
+		field("blank in a field name", "X Bad: 1"),
+		field("blank after a field name", "X-Bad : 1"),
+		field("blank before a field name", "X-Other: 1\r\n X-Bad: 1"),
+		{Name: "blank before the first field name", Raw: "HTTP/1.1 200 OK\r\n X-Bad: 1\r\n" + fields + fourBytes + "\r\ndone"},
+		field("control byte in a field name", "X\x01Bad: 1"),
+		field("tab in a field name", "X\tBad: 1"),
+		field("tab after a field name", "X-Bad\t: 1"),
+		field("field name that is not ASCII", "X-B\xe4d: 1"),
+		field("separator in a field name", "X@Bad: 1"),
+		field("no field name", ": 1"),
+		field("no colon", "X-Bad"),
+		field("control byte in a field value", "X-Bad: 1\x012"),
+		field("null byte in a field value", "X-Bad: 1\x002"),
+		field("carriage return in a field value", "X-Bad: 1\r2"),
+
+		ok("blank after Content-Length", "Content-Length : 4\r\n", "done, more"),
+		ok("blank after Transfer-Encoding", "Transfer-Encoding : chunked\r\n", chunks),
+		ok("two lengths", fourBytes+"Content-Length: 6\r\n", "done, more"),
+		ok("length with a sign", "Content-Length: +4\r\n", "done"),
+		ok("length and chunks", fourBytes+"Transfer-Encoding: chunked\r\n", chunks),
+		lines("chunks in HTTP/1.0", "HTTP/1.0 200 OK", "Transfer-Encoding: chunked\r\n", chunks),
+		ok("unknown transfer encoding", "Transfer-Encoding: other\r\n", "done"),
+		lines("204 with a body", "HTTP/1.1 204 No Content", fourBytes, "done"),
+		lines("204 in chunks", "HTTP/1.1 204 No Content", "Transfer-Encoding: chunked\r\n", chunks),
+		{
+			Name: "blank in a field name of an informational answer",
+			Raw:  "HTTP/1.1 103 Early\r\nX Bad: 1\r\n\r\nHTTP/1.1 200 OK\r\n" + fields + fourBytes + "\r\ndone",
+		},
+
 		untilEnd(ok("body cut short", "Content-Length: 9\r\n", "done")),
 		untilEnd(ok("chunk cut short", "Transfer-Encoding: chunked\r\n", "9\r\ndone")),
 		untilEnd(ok("last chunk missing", "Transfer-Encoding: chunked\r\n", "4\r\ndone\r\n")),
@@ -178,6 +209,15 @@
 	}
 }
 
+// BrokenTrailer returns an answer whose trailer is invalid. Where it ends is known, so its connection may serve the next
+// request.
+func BrokenTrailer() Answer {
+	return Answer{
+		Name: "blank in a trailer's name",
+		Raw:  "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\nX Bad: 1\r\n\r\n",
+	}
+}
+
 // Valid returns answers that are valid and whole. The given field lines, each with its line end, are part of each
 // head.
 func Valid(fields string) []Answer {
