Links: paths and field values that are not UTF-8, and many fields, pass; broken answers end at the link

What callers saw: a field value with bytes that are not UTF-8, which HTTP allows, came through beside the backend server, but through another node the caller got 502 after 2 s. The same held for a request with such a value or path, and for more than 4,096 fields or values in a head.

Cause: frames carry paths and fields as CBOR text, whose decoder refused what its encoder takes. The refusal closes the link, the node asks for the outcome on the next one, and gets the same frame.

Ruled out: byte strings in place of text, since nodes of the version before could not read any request or answer then.

Change: the decoder takes what the encoder takes, and as many elements as a head has room for. An answer that HTTP does not allow becomes unknown where the frame is read, by the check that all readers of answers use (dfpanswer.Check), and the link holds.

--- a/internal/link/dfppeer/dfppeer.go
+++ b/internal/link/dfppeer/dfppeer.go
@@ -62,8 +62,9 @@
 	// socketWriteBuffer bounds the kernel's send buffer of a connection, so that heartbeats do
 	// not queue behind seconds of request bodies on a slow network.
 	socketWriteBuffer = 128 << 10
-	// maxElements bounds the number of elements of each array and map in a frame.
-	maxElements = 4096
+	// maxElements bounds the number of elements of each array and map in a frame. A head of 68 KiB, the longest that
+	// any listener of a node takes, has at most 17,408 fields, of 4 bytes each.
+	maxElements = 32768
 )
 
 // Limits on concurrent work, for a whole mesh if not stated otherwise.
--- a/internal/link/dfppeer/frame.go
+++ b/internal/link/dfppeer/frame.go
@@ -9,6 +9,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"dragonflyport/internal/contract/dfpcall"
+	"dragonflyport/internal/link/dfpanswer"
 )
 
 // kind is the type of a frame.
@@ -94,6 +95,7 @@
 		MaxNestedLevels:  16,
 		IndefLength:      cbor.IndefLengthForbidden,
 		TagsMd:           cbor.TagsForbidden,
+		UTF8:             cbor.UTF8DecodeInvalid, // Paths and values of fields may have any bytes over 0x7f.
 	}.DecMode()
 	if err != nil {
 		panic("dfppeer: cannot create CBOR decoder: " + err.Error())
@@ -134,9 +136,19 @@
 	if err := f.validate(); err != nil {
 		return nil, nil, err
 	}
+	f.checkAnswer()
 	return f, rest, nil
 }
 
+// checkAnswer replaces an answer that no backend server can have given by Unknown. The request's caller cannot get it,
+// and an error would close the link, on whose successor the answer would arrive again.
+func (f *frame) checkAnswer() {
+	if f.Answer != nil && dfpanswer.Check(f.Answer.Status, f.Answer.Header) != nil {
+		f.Unknown = &dfpcall.Unknown{Reason: dfpcall.ReasonBackendFailed, Budget: f.Answer.Budget}
+		f.Answer = nil
+	}
+}
+
 var errInvalidField = errors.New("a required field is missing or out of range")
 
 func (f *frame) validate() error {
