Links: a link that fails as soon as it is open is not opened again at once

Change: before it asks for outcomes on the next link, a node pauses for the delay of a retried dial if the link that was lost was younger than that. Losses of older links are handled at once, as before.

--- a/internal/link/dfppeer/answer_test.go
+++ b/internal/link/dfppeer/answer_test.go
@@ -85,3 +85,17 @@
 		})
 	}
 }
+
+// TestAnswerThatBreaksEachLink has each link fail while the answer arrives: until the request is given up, links are
+// not opened faster than a dial is retried.
+func TestAnswerThatBreaksEachLink(t *testing.T) {
+	p := newPair(t, make([]byte, 1<<20))
+	p.prepare = func(c *faultConn) { c.readLimit = 16 << 10 }
+	close(p.finish)
+	out := p.caller.mesh.Run(t.Context(), p.guard.address, request(1, nil))
+	_, unknown := out.(*dfpcall.Unknown)
+	assert.Assert(t, unknown, "%#v", out)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	assert.Assert(t, p.dials > 2 && p.dials <= 100, "%d dials in 2 s", p.dials)
+}
--- a/internal/link/dfppeer/conn.go
+++ b/internal/link/dfppeer/conn.go
@@ -20,6 +20,7 @@
 	ws          *websocket.Conn
 	incarnation uint64 // Of the process on the other side.
 	dialed      bool
+	openedAt    int64 // As Mesh.now returns it.
 	out         *sendQueue
 	writeMu     sync.Mutex // Held while a message is written.
 	parts       assembler  // Used by readLoop only.
--- a/internal/link/dfppeer/mesh.go
+++ b/internal/link/dfppeer/mesh.go
@@ -100,7 +100,7 @@
 
 // addConn adds an authenticated WebSocket connection to the peer and starts its loops.
 func (m *Mesh) addConn(p *peer, ws *websocket.Conn, incarnation uint64, dialed bool) *conn {
-	c := &conn{mesh: m, peer: p, ws: ws, incarnation: incarnation, dialed: dialed, out: newSendQueue()}
+	c := &conn{mesh: m, peer: p, ws: ws, incarnation: incarnation, dialed: dialed, openedAt: m.now(), out: newSendQueue()}
 	c.lastRead.Store(m.now())
 	c.lastUse.Store(m.now())
 	c.lastWrite.Store(m.now())
--- a/internal/link/dfppeer/run.go
+++ b/internal/link/dfppeer/run.go
@@ -146,7 +146,12 @@
 // resolve learns the outcomes of requests whose connection was lost. On another connection, it asks the
 // process that may have received them. All requests must have been on the same lost connection.
 func (p *peer) resolve(lost []*pendingRun) {
-	incarnation := lost[0].conn.incarnation
+	last := lost[0].conn
+	incarnation := last.incarnation
+	if age := time.Duration(p.mesh.now() - last.openedAt); age < resolveRetryDelay {
+		// The outcome itself may have broken the connection, and would break the next one, too.
+		sleep(p.mesh.ctx, resolveRetryDelay)
+	}
 	for {
 		lost = p.stillUnresolved(lost)
 		if len(lost) == 0 {
