--- a/internal/standin/dfpsoak/backend.go
+++ b/internal/standin/dfpsoak/backend.go
@@ -213,7 +213,10 @@
 func (b *backend) sendHeartbeat(ctx context.Context) bool {
 	b.mu.Lock()
 	b.sequence++
-	heartbeat := Heartbeat{Instance: b.instance, Service: b.node.spec.Service, Slots: slots, Draining: b.draining, Sequence: b.sequence, Started: b.started}
+	heartbeat := Heartbeat{
+		Instance: b.instance, Service: b.node.spec.Service, Address: b.node.spec.Backend, Zone: b.node.spec.Zone,
+		Slots: slots, Draining: b.draining, Sequence: b.sequence, Started: b.started,
+	}
 	up := b.server != nil
 	b.mu.Unlock()
 	if !up {
--- a/internal/standin/dfpsoak/dfpsoak.go
+++ b/internal/standin/dfpsoak/dfpsoak.go
@@ -195,10 +195,12 @@
 // Heartbeat is one heartbeat of a backend server.
 type Heartbeat struct {
 	Instance, Service string
-	Slots             int
-	Draining          bool
-	Sequence          uint64
-	Started           time.Time
+	// Address and Zone are those of the backend server's VM.
+	Address, Zone string
+	Slots         int
+	Draining      bool
+	Sequence      uint64
+	Started       time.Time
 }
 
 // Report is the result of a soak test.
