--- a/internal/vm/dfpnode/dfpnode.go
+++ b/internal/vm/dfpnode/dfpnode.go
@@ -266,6 +266,8 @@
 	platformLost atomic.Bool
 	// stopping is set when the graceful shutdown begins.
 	stopping atomic.Bool
+	// cutAt is when the graceful shutdown cuts requests in progress. It is set at the end of the close notice.
+	cutAt atomic.Pointer[time.Time]
 	// secretMismatch holds a value if another node has proved to know another secret.
 	secretMismatch chan struct{}
 }
--- a/internal/vm/dfpnode/dfpnode_entry.go
+++ b/internal/vm/dfpnode/dfpnode_entry.go
@@ -14,8 +14,13 @@
 	"dragonflyport/internal/link/dfppeer"
 )
 
-// entryFullRetryAfter is the retry delay that a caller gets if the entry's request limit is reached.
-const entryFullRetryAfter = time.Second
+// Retry delays that a caller gets from the entry.
+const (
+	// entryFullRetryAfter is for requests beyond the entry's limit.
+	entryFullRetryAfter = time.Second
+	// stoppingRetryAfter is for requests that a stopping node refuses. Other nodes take them now.
+	stoppingRetryAfter = 100 * time.Millisecond
+)
 
 // entryLimiter limits the callers' requests in progress, in total and per organisation, so that one
 // organisation's flood at one VM does not exclude the others.
@@ -124,7 +129,11 @@
 	if service, ok := match.rules.Service(match.route.Service); ok && int64(len(in.Body)) > service.MaxBody {
 		return &dfpcall.NotRun{Reason: dfpcall.ReasonBadRequest}
 	}
-	ctx, cancel := context.WithTimeout(ctx, timeoutOf(match.route, in))
+	timeout := timeoutOf(match.route, in)
+	if n.outlastsShutdown(timeout) {
+		return &dfpcall.NotRun{Reason: dfpcall.ReasonDraining, RetryAfter: stoppingRetryAfter}
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	*served = *n.newRootRequest(match, in)
 	req := served
@@ -141,6 +150,13 @@
 	})
 }
 
+// outlastsShutdown reports whether a request that begins now, when the close notice of a shutdown has ended, could still
+// run when the shutdown cuts requests. Requests that begin during the notice are served.
+func (n *Node) outlastsShutdown(timeout time.Duration) bool {
+	cutAt := n.cutAt.Load()
+	return cutAt != nil && time.Until(*cutAt) < timeout
+}
+
 // serveWithinRate takes a token of the organisation's rate for the request and returns it if the request
 // did not run.
 func (n *Node) serveWithinRate(ctx context.Context, req *dfpcall.Request, idempotencyKey string) dfpcall.Outcome {
--- a/internal/vm/dfpnode/dfpnode_run.go
+++ b/internal/vm/dfpnode/dfpnode_run.go
@@ -162,7 +162,8 @@
 //  1. It drains the VM: peers are informed, and the guard admits no new requests. With
 //     DrainAfterCloseNotice, this step follows the next one.
 //  2. It gives callers notice: each answer announces that its connection closes. Connections without a
-//     request during the notice are closed afterwards.
+//     request during the notice are closed afterwards. A request whose body is complete only after the notice
+//     is refused if it could outlast the shutdown.
 //  3. It waits until the callers' requests and all requests on the backend server have ended. The egress
 //     still serves nested calls.
 //  4. It hands slots of rates and claims over to other nodes.
@@ -176,6 +177,8 @@
 		n.Drain()
 	}
 	n.giveCloseNotice(ctx, all.onShutdown)
+	cutAt, _ := ctx.Deadline()
+	n.cutAt.Store(&cutAt)
 	n.Drain()
 	for _, s := range all.callers {
 		if err := s.http.Shutdown(ctx); err != nil {
