Answers: a whole answer counts also if the connection is reset before its request is read

What callers saw: a backend server answers a long upload with a whole answer, with its length, and resets or closes the connection with the request unread.

Cause: net/http closes the connection when a write fails, while the answer waits to be read in the socket.

Change: once a part of a request has been written, dfpanswer leaves the error of a write to the reader, which gets all bytes that have arrived and then that error. The first write of a request fails as before, so that net/http still knows that nothing was written; so do writes on links, whose requests ask for another protocol.

The cases without a length stay unknown.

--- a/internal/link/dfpanswer/conn.go
+++ b/internal/link/dfpanswer/conn.go
@@ -23,21 +23,38 @@
 	writeMu sync.Mutex // Held during a write.
 	// writeErr is the error of the first failed write.
 	writeErr error
+	// upgrade says that the request asks for another protocol, and sent that a part of it has been written.
+	upgrade, sent bool
 }
 
-// Write implements net.Conn.
+// Write implements net.Conn. The error of a write after the first one of a request is left to Read: net/http would close
+// the connection, though the whole answer may have arrived and only the rest of the request is not wanted.
 func (c *conn) Write(p []byte) (int, error) {
 	c.writeMu.Lock()
 	defer c.writeMu.Unlock()
+	if c.writeErr != nil && c.sent {
+		return len(p), nil
+	}
 	n, err := c.Conn.Write(p)
-	if c.writeErr == nil && !errors.Is(err, os.ErrDeadlineExceeded) {
-		c.writeErr = err
+	if err == nil {
+		c.sent = !c.upgrade
+		return n, nil
+	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return n, err
+	}
+	c.writeErr = err
+	if c.sent {
+		return len(p), nil
 	}
 	return n, err
 }
 
 // begin starts a request, whose answer is the next to arrive.
 func (c *conn) begin(upgrade bool) {
+	c.writeMu.Lock()
+	c.upgrade, c.sent = upgrade, false
+	c.writeMu.Unlock()
 	c.headMu.Lock()
 	defer c.headMu.Unlock()
 	c.head = head{upgrade: upgrade}
