--- a/internal/link/dfpanswer/head.go
+++ b/internal/link/dfpanswer/head.go
@@ -74,7 +74,8 @@
 	return nil
 }
 
-// add checks a line without its end.
+// add checks a line without its end. A line that begins with a blank, to continue the one before it, is invalid: senders
+// must not use them (RFC 9112, section 5.2).
 func (h *head) add(line string) error {
 	switch {
 	case h.status == 0:
@@ -82,7 +83,6 @@
 	case line == "":
 		return h.end()
 	}
-	// A line that continues the one before it begins with a blank. Senders must not use such lines.
 	name, value, found := strings.Cut(line, ":")
 	if !found {
 		return fmt.Errorf("%w: line %.80q in the head", ErrInvalid, line)
