DRAIN: an instance that has left stays so for later processes of its node

Cause: that an instance has left was kept in the memory of one process. A new process takes any valid heartbeat for that of a live instance. The same for draining heartbeats, for Leaving in answers when all nodes die, for the drain of the product's own interface, and for a deregistration at a node that had heard of no instance yet.

Ruled out: the order of heartbeats (a new process has nothing to compare with); the other nodes' memory (lost when all are killed).

Fix: departures are stored in the platform under a lease before they are acknowledged, and a new process reads them before an announcement takes effect. Instances that have not left, and later starts, are served at once.

--- a/internal/vm/dfpinstance/dfpinstance.go
+++ b/internal/vm/dfpinstance/dfpinstance.go
@@ -1,15 +1,19 @@
-// Package dfpinstance tracks the newest instance of a backend server from its heartbeats, and what instances say
-// about themselves in their answers.
+// Package dfpinstance tracks the newest instance of a backend server from its heartbeats, which instances have
+// left, and what instances say about themselves in their answers.
 //
 // A heartbeat may arrive seconds late, after a new instance has registered at the same address, or after a
 // later heartbeat of the same instance. Instances are ordered by their start time, and the heartbeats of one
-// instance by their sequence. An instance that is draining or has deregistered is leaving, and stays so.
+// instance by their sequence. An instance that is draining or has deregistered is leaving, and stays so, also
+// if the node's process is replaced by another one meanwhile.
 //
 // # Usage
 //
 //	var tracker dfpinstance.Tracker
-//	if tracker.Observe(heartbeat) && !tracker.Leaving() { ... }
-//	tracker.Deregister("i-7f3a91c2")
+//	if tracker.Observe(heartbeat) { announce(heartbeat) }
+//
+//	var departures dfpinstance.Departures // Of one VM, at its node.
+//	if departures.Add(dfpinstance.Departure{Instance: "i-7f3a91c2", Started: started}) { store(departures.All()) }
+//	if departures.Include(heartbeat.Instance, heartbeat.Started) { drain() }
 //
 //	var notices dfpinstance.Notices // Of one instance, at the node beside it.
 //	if notices.Observe(now, sent, notice) { apply(notices.Current()) }
@@ -30,17 +34,10 @@
 	Started int64
 	// Sequence increases with each heartbeat of the instance.
 	Sequence uint64
-	// Draining reports that the instance takes no new work.
-	Draining bool
 }
 
-// Tracker holds the newest instance observed.
-type Tracker struct {
-	current Heartbeat
-	leaving bool
-	// deregistered is the last instance that deregistered before the first heartbeat of any instance.
-	deregistered string
-}
+// Tracker holds the newest heartbeat observed.
+type Tracker struct{ current Heartbeat }
 
 // Observe processes a heartbeat and reports whether it is newer than all before. An older heartbeat is
 // ignored.
@@ -53,26 +50,9 @@
 	case !same && h.Started == c.Started && c.Instance != "":
 		return false // Two instances cannot start at one address in one millisecond.
 	}
-	if !same {
-		t.leaving = h.Instance == t.deregistered && c.Instance == ""
-	}
 	t.current = h
-	t.leaving = t.leaving || h.Draining
 	return true
 }
 
-// Deregister records that an instance has deregistered.
-func (t *Tracker) Deregister(instance string) {
-	if t.current.Instance == "" {
-		t.deregistered = instance
-	}
-	if instance == t.current.Instance {
-		t.leaving = true
-	}
-}
-
-// Leaving reports whether the newest instance is draining or has deregistered.
-func (t *Tracker) Leaving() bool { return t.leaving }
-
 // Instance returns the name of the newest instance; empty if none was observed.
 func (t *Tracker) Instance() string { return t.current.Instance }
--- a/internal/vm/dfpnode/dfpnode.go
+++ b/internal/vm/dfpnode/dfpnode.go
@@ -25,7 +25,8 @@
 // operators' rules (dfpnode_config.go), the organisations' rates (dfpnode_rates.go or dfpnode_quota.go),
 // the claims of idempotency keys (dfpnode_once.go) and the requests that crash backend servers
 // (dfpnode_crash.go, dfpnode_quarantine.go). What backend servers say about themselves in their answers goes to
-// the guard and, by way of its load, to the other nodes (dfpnode_notice.go). Requests read this state from
+// the guard and, by way of its load, to the other nodes (dfpnode_notice.go). Which of its instances have left is
+// stored in the platform for the node's next process (dfpnode_departure.go). Requests read this state from
 // snapshots behind atomic pointers. Each decision object that is not safe for concurrent use has a mutex of its
 // own, which is held only during a decision. Decisions about waiting requests are delivered to them before the
 // mutex is released, which never blocks. The other effects of a decision, such as messages to peers, are carried
@@ -253,6 +254,7 @@
 	crashes      crashLoop
 	quarantine   quarantineLoop
 	peerNotices  peerNotices
+	departures   departureLoop
 	roster       rosterLoop
 	config       configLoop
 	rates        organisationRates
@@ -286,6 +288,7 @@
 	n.router = dfproute.New(route)
 	n.callers = dfpcaller.New(dfpcaller.Config{Admit: n.AdmitCaller, Serve: n.ServeCaller, KeepKeys: cfg.KeepKeys})
 	n.guard.init(n)
+	n.departures.init(n)
 	n.crashes.n, n.quarantine.n = n, n
 	n.rates = newRates(n) // Before roster.init, which passes it the list of VMs.
 	n.fleetBudgets = newFleetBudgets(cfg.FleetBudget)
--- a/internal/vm/dfpnode/dfpnode_egress.go
+++ b/internal/vm/dfpnode/dfpnode_egress.go
@@ -22,6 +22,8 @@
 	// egressWriteTimeout counts from the start of a request. It exceeds 10 min, the longest deadline that a
 	// route may have.
 	egressWriteTimeout = 11 * time.Minute
+	// drainTimeout bounds how long a backend server waits for the acknowledgement of its drain.
+	drainTimeout = 2 * time.Second
 )
 
 // HeaderIdempotent with the value "yes" marks a nested call as safe to run more than once although its
@@ -86,8 +88,15 @@
 	w.WriteHeader(http.StatusNoContent)
 }
 
-func (n *Node) serveDrain(w http.ResponseWriter, _ *http.Request) {
+func (n *Node) serveDrain(w http.ResponseWriter, r *http.Request) {
 	n.Drain()
+	backend, _ := n.guard.state()
+	ctx, cancel := context.WithTimeout(r.Context(), drainTimeout)
+	defer cancel()
+	if err := n.Depart(ctx, backend.Instance, backend.Started); err != nil {
+		http.Error(w, err.Error()+"; call again", http.StatusServiceUnavailable)
+		return
+	}
 	w.WriteHeader(http.StatusNoContent)
 }
 
--- a/internal/vm/dfpnode/dfpnode_guard.go
+++ b/internal/vm/dfpnode/dfpnode_guard.go
@@ -88,8 +88,13 @@
 	}
 }
 
-// Announce records an announcement of the backend server, which expires after backendLease.
+// Announce records an announcement of the backend server, which expires after backendLease. An instance that has
+// left gets no new requests.
 func (n *Node) Announce(announced Announcement) {
+	admitted, left := n.departures.admit(announced)
+	if !admitted {
+		return
+	}
 	g := &n.guard
 	g.mu.Lock()
 	changed := g.backend != announced || g.expires.IsZero()
@@ -99,6 +104,12 @@
 		g.resetNotices()
 		g.draining = g.draining && n.stopping.Load()
 	}
+	leaves := left && !g.draining && !n.cfg.NoDrain
+	if leaves {
+		g.draining = true
+		g.deliver(g.guard.Drain(time.Now()))
+	}
+	changed = changed || leaves
 	g.backend = announced
 	g.expires = time.Now().Add(backendLease)
 	if changed && !g.draining {
--- a/internal/vm/dfpnode/dfpnode_notice.go
+++ b/internal/vm/dfpnode/dfpnode_notice.go
@@ -41,6 +41,9 @@
 	g.mu.Unlock()
 	if current.Leaving {
 		g.n.Drain()
+		if backend.Instance != "" {
+			g.n.departures.add(dfpinstance.Departure{Instance: backend.Instance, Started: backend.Started})
+		}
 	}
 	dfpevent.Write(g.n.journal, now, func() *dfpevent.Notice {
 		return &dfpevent.Notice{Instance: backend.Instance, Service: backend.Service, Notice: current}
--- a/internal/vm/dfpnode/dfpnode_run.go
+++ b/internal/vm/dfpnode/dfpnode_run.go
@@ -153,6 +153,9 @@
 		n.group.Go(n.claims.run)
 	}
 	n.group.Go(n.guard.run)
+	if n.cfg.Platform != nil {
+		n.group.Go(n.departures.run)
+	}
 	n.group.Go(n.runAdmissionLog)
 	n.group.Go(n.quarantine.run)
 }
