QUOTA: what a lost allocator granted ahead of the even rate is bounded by a record in the store

Cause: a window's tokens could be granted in a second, and the next allocator's first window was paced at 1.1 times the even rate, which fits only behind a window that was paced as well.

Fix: tokens ahead of the even rate and a small depth are granted only once the store has a record of it, and never more than the organisation's burst. A new allocator reads the record and counts depth and advance as granted right before it was established. Floors begin 3.5 s after the start, the last confirmation or the last tokens. Calm organisations need no record.

Existing tests are as they were; the simulated fleet has a store now.

--- a/internal/vm/dfpnode/dfpnode_quota.go
+++ b/internal/vm/dfpnode/dfpnode_quota.go
@@ -5,9 +5,12 @@
 	"sync"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"dragonflyport/internal/contract/dfpcall"
 	"dragonflyport/internal/contract/dfprules"
 	"dragonflyport/internal/link/dfppeer"
+	"dragonflyport/internal/link/dfpplatform"
 	"dragonflyport/internal/vm/dfpclock"
 	"dragonflyport/internal/vm/dfpevent"
 	"dragonflyport/internal/vm/dfpvm"
@@ -21,8 +24,14 @@
 	mu       sync.Mutex // Guards limiter and arrivals; held for one decision at a time.
 	limiter  *dfpquota.Limiter
 	arrivals tokenArrivals
+	// entry is the record of advances in the platform when it was last read or written, without its value. Only the
+	// call that the limiter has asked for uses it.
+	entry dfpplatform.Entry
 }
 
+// advancesKey is the key in the platform of the record of advances.
+const advancesKey = "dragonflyport/advances"
+
 // tokenArrivals wakes the requests that wait for tokens, by organisation. Those of another organisation must not
 // wake: Limiter.Take would count them as waiting once more.
 type tokenArrivals map[string]chan struct{}
@@ -52,9 +61,63 @@
 // do makes one decision and sends the resulting messages.
 func (l *quotaLoop) do(decide func(now time.Time, limiter *dfpquota.Limiter) []dfpquota.Send) {
 	l.mu.Lock()
-	sends := decide(dfpclock.Now(), l.limiter)
+	now := dfpclock.Now()
+	sends := decide(now, l.limiter)
+	call := l.storeCall(now)
 	l.mu.Unlock()
 	l.send(sends)
+	l.start(call)
+}
+
+// storeCall returns the call to the platform that is due. l.mu must be held.
+func (l *quotaLoop) storeCall(now time.Time) dfpquota.StoreCall {
+	if l.n.cfg.Platform == nil {
+		return nil
+	}
+	return l.limiter.StoreCall(now)
+}
+
+// start makes a call to the platform in a goroutine of its own; nil is none.
+func (l *quotaLoop) start(call dfpquota.StoreCall) {
+	switch call := call.(type) {
+	case *dfpquota.ReadRecord:
+		l.n.group.Go(func() error { l.readRecord(); return nil })
+	case *dfpquota.WriteRecord:
+		l.n.group.Go(func() error { l.writeRecord(call.Record); return nil })
+	}
+}
+
+func (l *quotaLoop) readRecord() {
+	entry, err := l.n.cfg.Platform.Get(l.n.runCtx, advancesKey)
+	var record []dfpquota.Amount
+	if err == nil && entry.Revision != 0 {
+		if invalid := cbor.Unmarshal(entry.Value, &record); invalid != nil {
+			l.n.cfg.Log.WithField("key", advancesKey).WithError(invalid).Warn("platform entry is not a record of advances")
+		}
+	}
+	entry.Value = nil
+	l.entry = entry
+	l.do(func(now time.Time, limiter *dfpquota.Limiter) []dfpquota.Send {
+		limiter.HandleRecord(now, record, err == nil)
+		return nil
+	})
+}
+
+func (l *quotaLoop) writeRecord(record []dfpquota.Amount) {
+	value, err := cbor.Marshal(record)
+	if err != nil {
+		panic("dfpnode: record of advances cannot be encoded: " + err.Error())
+	}
+	write := dfpplatform.Write{Key: advancesKey, Expected: l.entry.Revision, Era: l.entry.Era, Value: value}
+	entry, err := l.n.cfg.Platform.CompareAndSwap(l.n.runCtx, write)
+	if err == nil {
+		entry.Value = nil
+		l.entry = entry
+	}
+	l.do(func(now time.Time, limiter *dfpquota.Limiter) []dfpquota.Send {
+		limiter.HandleWritten(now, err == nil)
+		return nil
+	})
 }
 
 func (l *quotaLoop) send(sends []dfpquota.Send) {
@@ -72,10 +135,13 @@
 	const maxWaits = 2
 	for attempt := 0; ; attempt++ {
 		l.mu.Lock()
-		result, sends := l.limiter.Take(dfpclock.Now(), organisation, attempt > 0)
+		now := dfpclock.Now()
+		result, sends := l.limiter.Take(now, organisation, attempt > 0)
+		call := l.storeCall(now)
 		arrived := l.arrivals.of(organisation)
 		l.mu.Unlock()
 		l.send(sends)
+		l.start(call)
 		switch v := result.(type) {
 		case *dfpquota.Granted:
 			return func() { l.returnToken(organisation, v.At) }, nil
--- a/internal/zone/dfpquota/allocator.go
+++ b/internal/zone/dfpquota/allocator.go
@@ -28,6 +28,12 @@
 	// majorityDeadline is when a majority must report here after a handover. Until then nodes that
 	// report to no allocator run nothing.
 	majorityDeadline time.Time
+	// termSince is when this allocator began to grant tokens, zero while it may not. termMajority is the
+	// majoritySince of the term, zero if it has only a handover so far.
+	termSince, termMajority time.Time
+	// counted reports that all tokens of the last window are known, by a handover.
+	counted bool
+	record  record
 }
 
 // reporter is a node that reports here.
@@ -107,28 +113,61 @@
 		return 0, 0
 	}
 	r := a.reserveOf(now, request.Organisation, budget)
-	budget.perWindow = max(0, budget.perWindow-a.otherTokens(now, budget.window, request.Organisation))
-	return r.take(now, budget, request.Value)
+	budget.others = a.otherTokens(now, budget.window, request.Organisation)
+	budget.advance = a.record.permitted[request.Organisation]
+	taken, retryAfter, raise := r.take(now, budget, request.Value)
+	a.record.raise = a.record.raise || raise
+	return taken, retryAfter
 }
 
-// reserveOf returns an organisation's reserve. Nodes that have not reported, or have been started anew,
-// may have run tokens before this allocator was established, so its first window is paced.
+// reserveOf returns an organisation's reserve. What an earlier allocator granted, if it did not hand its reserves over,
+// is bounded only by the even rate, the depth and the advance that the store's record permitted; as long as the
+// record has not been read, by the largest one.
 func (a *allocator) reserveOf(now time.Time, organisation string, budget budget) *reserve {
 	r := a.reserves[organisation]
 	if r == nil {
 		r = newReserve(now, budget.window)
 		a.reserves[organisation] = r
 	}
-	if a.established(now) && !r.pacedFor.Equal(a.majoritySince) {
-		r.pacedFor = a.majoritySince
-		r.pace(a.majoritySince.Add(ConfirmationTTL))
+	if a.termSince.IsZero() || a.counted || now.Sub(a.termSince) >= budget.window {
+		return r
 	}
+	advance := budget.maxAdvance()
+	if a.record.read {
+		advance = a.record.initial[organisation]
+	}
+	if !r.debtAt.Equal(a.termSince) {
+		r.debtAt, r.sinceDebt = a.termSince, 0
+	}
+	r.debt = budget.depth + advance
 	return r
 }
 
-// mayGrant reports whether the allocator may grant tokens from its reserves.
+// mayGrant reports whether the allocator may grant tokens from its reserves, and keeps its term up to date.
 func (a *allocator) mayGrant(now time.Time) bool {
-	return a.established(now) || now.Before(a.handoverUntil) && (a.hasMajority || now.Before(a.majorityDeadline))
+	established := a.established(now)
+	handedOver := now.Before(a.handoverUntil) && (a.hasMajority || now.Before(a.majorityDeadline))
+	switch {
+	case !established && !handedOver:
+		a.termSince = time.Time{}
+		return false
+	case a.termSince.IsZero():
+		a.beginTerm(now, established)
+	case established && a.termMajority.IsZero() && !a.majoritySince.Add(ConfirmationTTL).After(a.handoverUntil):
+		a.termMajority = a.majoritySince // The term goes on from the handover.
+	case established && !a.termMajority.Equal(a.majoritySince):
+		a.beginTerm(now, established)
+	}
+	return true
+}
+
+// beginTerm begins a term in which the allocator grants tokens.
+func (a *allocator) beginTerm(now time.Time, established bool) {
+	a.termSince, a.termMajority, a.counted = now, time.Time{}, !established
+	if established {
+		a.termSince, a.termMajority = a.majoritySince.Add(ConfirmationTTL), a.majoritySince
+	}
+	a.record = record{calling: a.record.calling, discard: a.record.calling, notBefore: a.record.notBefore}
 }
 
 // established reports whether a majority of the fleet has reported here for so long that no other
@@ -141,7 +180,7 @@
 // resets the allocator, which from then on grants nothing. An allocator that still depends on a handover
 // itself passes on the rest of that handover's time, since nodes whose confirmations expire meanwhile
 // use their floors.
-func (a *allocator) handOver(now time.Time, window time.Duration) Message {
+func (a *allocator) handOver(now time.Time, window time.Duration, budgets map[string]budget) Message {
 	m := Message{Handover: max(0, a.handoverUntil.Sub(now)), Grantors: a.grantors}
 	if a.established(now) {
 		m.Handover = handoverTTL
@@ -154,11 +193,18 @@
 				}
 			}
 		}
-		m.ReserveUsage = append(m.ReserveUsage, ReserveUsage{
-			Organisation: organisation, Slices: r.usage(now, window), Short: r.short(now, window),
-		})
+		usage := ReserveUsage{Organisation: organisation, Slices: r.usage(now, window), Short: r.short(now, window)}
+		if budget, found := budgets[organisation]; found {
+			usage.Ahead = r.ahead(now, budget)
+		}
+		if r.inDebt(now, window) {
+			usage.DebtAge = now.Sub(r.debtAt)
+		}
+		m.ReserveUsage = append(m.ReserveUsage, usage)
 	}
+	calling := a.record.calling
 	*a = newAllocator(a.grantors[0])
+	a.record = record{calling: calling, discard: calling}
 	slices.SortFunc(m.ReserveUsage, func(a, b ReserveUsage) int { return strings.Compare(a.Organisation, b.Organisation) })
 	return m
 }
@@ -179,6 +225,11 @@
 			a.reserves[u.Organisation] = r
 		}
 		r.add(now, now, window, u.Slices)
+		r.level, r.levelAt = r.level+max(0, u.Ahead), now
+		if u.DebtAge > 0 {
+			// What is not known is part of Ahead.
+			r.debt, r.sinceDebt, r.debtAt = 0, 0, now.Add(-min(u.DebtAge, window))
+		}
 		if u.Short {
 			r.pace(now)
 		}
--- a/internal/zone/dfpquota/dfpquota.go
+++ b/internal/zone/dfpquota/dfpquota.go
@@ -20,19 +20,22 @@
 //
 //   - An allocator's reserve is smaller by the floors of the nodes that do not report to it, or did
 //     not within the last window.
-//   - A node whose confirmation has expired runs nothing for another ConfirmationTTL, and then its floor.
+//   - A node has no floor within floorDelay after its start, its last confirmation and the last tokens that it received.
 //   - A report binds its sender to one allocator: a node that reports to another one first drops its
 //     confirmation, so that of two allocators at most one has reports from a majority of the fleet.
 //   - An allocator grants nothing until it is established: a majority has reported to it for
 //     ConfirmationTTL, by when an earlier allocator has lost its majority, or nearly the whole fleet
 //     reports to it and none of these processes has ever been confirmed.
 //   - A report whose predecessor is not confirmed says what its sender has run in the last window, and
-//     who granted it. A new allocator counts it, and paces its first window for what it cannot know.
+//     who granted it. A new allocator counts it.
+//   - In no span does an allocator grant more than the even rate, a small depth and an advance that the caller's store
+//     had recorded before. A new allocator reads the record, and counts depth and advance as granted right before it was
+//     established: that bounds what it cannot know.
 //   - An allocator that is replaced, because it leaves or because a node with a lower address has
 //     joined, hands its reserves over and grants nothing from then on. Its successor grants from
 //     them for handoverTTL, within which a majority must report to it.
 //
-// No state outlives a process.
+// Nothing but that record outlives a process.
 //
 // # Usage
 //
@@ -42,6 +45,10 @@
 //	result, sends := limiter.Take(now, "waldspiel", false)
 //	sends := limiter.Tick(now)              // Every TickInterval.
 //	sends = limiter.Handle(now, from, msg)  // For each message of another node.
+//	switch call := limiter.StoreCall(now).(type) { // After each of these.
+//	case *dfpquota.ReadRecord:  ... limiter.HandleRecord(now, record, err == nil)
+//	case *dfpquota.WriteRecord: ... limiter.HandleWritten(now, err == nil)
+//	}
 //
 // A Limiter does no I/O and is not safe for concurrent use. The times passed to it must come from a
 // clock that includes the time during which the machine was suspended.
@@ -74,8 +81,10 @@
 	handoverTTL = ConfirmationTTL + allocatorChangeTime
 	// floorFraction is the part of each rate that nodes without a confirmation divide evenly. Its use
 	// in the rest of a window in which the whole reserve was granted before the allocator was lost
-	// must fit into the tolerance.
+	// must fit into the tolerance, also if the next allocators are lost, too. So nodes use it only floorDelay after
+	// such a grant was last possible.
 	floorFraction = 0.25
+	floorDelay    = 3500 * time.Millisecond
 	// tokenRequestHorizon is the time whose expected demand one token request covers.
 	tokenRequestHorizon = 400 * time.Millisecond
 	// minBackoff and maxBackoff bound how long a node requests no tokens after it got fewer than
@@ -211,6 +220,10 @@
 	Grantor Grantor `cbor:"3,keyasint,omitempty"`
 	// Short is true in a handover if the reserve granted less than was wanted in the last window.
 	Short bool `cbor:"4,keyasint,omitempty"`
+	// Ahead is, in a handover, how far the fleet is ahead of the even rate.
+	Ahead float64 `cbor:"5,keyasint,omitempty"`
+	// DebtAge is, in a handover, how long ago the sender's term began, if not all tokens of the last window are known.
+	DebtAge time.Duration `cbor:"6,keyasint,omitempty"`
 }
 
 // Send is a message to send to a node.
--- a/internal/zone/dfpquota/dfpquota_test.go
+++ b/internal/zone/dfpquota/dfpquota_test.go
@@ -33,6 +33,75 @@
 	grantedAt map[string][]time.Time
 	// requests counts all requests.
 	requests int
+	store    recordStore
+}
+
+// recordStore is a store that holds the record of advances.
+type recordStore struct {
+	record   []dfpquota.Amount
+	revision int
+	down     bool
+	// known is the revision that each process last read or wrote.
+	known map[*dfpquota.Limiter]int
+	calls []storeCall
+	// writes counts the calls that write.
+	writes int
+}
+
+// storeCall is a call to the store on its way. Its answer arrives storeDelay after it was sent.
+type storeCall struct {
+	arrives time.Time
+	limiter *dfpquota.Limiter
+	call    dfpquota.StoreCall
+	answer  func()
+}
+
+// storeDelay is the time from a call to the store to its answer, from another region than the store's.
+const storeDelay = 45 * time.Millisecond
+
+// advanceStore sends the calls that are due, and carries out those that arrive.
+func (sim *simulation) advanceStore() {
+	for i := range len(sim.limiters) {
+		limiter := sim.limiters[name(i)]
+		if call := limiter.StoreCall(sim.now); call != nil {
+			sim.store.calls = append(sim.store.calls, storeCall{arrives: sim.now.Add(storeDelay / 2), limiter: limiter, call: call})
+		}
+	}
+	rest := sim.store.calls[:0]
+	for _, c := range sim.store.calls {
+		switch {
+		case c.answer == nil && !c.arrives.After(sim.now):
+			c.answer = sim.store.carryOut(sim, c)
+			rest = append(rest, c)
+		case c.answer != nil && !c.arrives.Add(storeDelay/2).After(sim.now):
+			c.answer()
+		default:
+			rest = append(rest, c)
+		}
+	}
+	sim.store.calls = rest
+}
+
+// carryOut carries out a call at the store and returns what its answer causes.
+func (s *recordStore) carryOut(sim *simulation, c storeCall) (answer func()) {
+	switch call := c.call.(type) {
+	case *dfpquota.ReadRecord:
+		if s.down {
+			return func() { c.limiter.HandleRecord(sim.now, nil, false) }
+		}
+		s.known[c.limiter] = s.revision
+		record := s.record
+		return func() { c.limiter.HandleRecord(sim.now, record, true) }
+	case *dfpquota.WriteRecord:
+		if s.down || s.known[c.limiter] != s.revision {
+			return func() { c.limiter.HandleWritten(sim.now, false) }
+		}
+		s.revision++
+		s.writes++
+		s.known[c.limiter], s.record = s.revision, call.Record
+		return func() { c.limiter.HandleWritten(sim.now, true) }
+	}
+	panic("unknown call")
 }
 
 // waiting is a request for which Take is called again when it is due.
@@ -69,6 +138,7 @@
 	sim := &simulation{
 		now: epoch, allocator: name(0), limiters: map[string]*dfpquota.Limiter{}, disconnected: map[string]bool{},
 		changes: map[string]allocatorChange{}, grantedAt: map[string][]time.Time{},
+		store: recordStore{known: map[*dfpquota.Limiter]int{}},
 	}
 	for i := range nodes {
 		sim.start(name(i), nodes, organisations...)
@@ -108,6 +178,7 @@
 // advance moves the time forward by one step.
 func (sim *simulation) advance() {
 	sim.now = sim.now.Add(step)
+	sim.advanceStore()
 	for i := range len(sim.limiters) {
 		if change, found := sim.changes[name(i)]; found && !change.due.After(sim.now) {
 			delete(sim.changes, name(i))
--- a/internal/zone/dfpquota/limiter.go
+++ b/internal/zone/dfpquota/limiter.go
@@ -26,8 +26,8 @@
 	heldUntil    time.Time
 	// requestUntil is until when the node requests tokens without a new answer from the allocator.
 	requestUntil time.Time
-	// noFloorUntil is until when the node has no floor, since its allocator grants from its reserves,
-	// which leave no room for floors.
+	// noFloorUntil is until when the node has no floor, since an allocator may have granted a whole reserve shortly
+	// before.
 	noFloorUntil time.Time
 
 	allocator allocator
@@ -61,10 +61,12 @@
 
 // New returns the Limiter of a node that has just started.
 func New(now time.Time, cfg Config) *Limiter {
-	return &Limiter{
+	l := &Limiter{
 		cfg: cfg, buckets: map[string]*bucket{},
 		sentReports: map[uint64]time.Time{}, nextReport: now, allocator: newAllocator(grantorOf(now, cfg.Self)),
 	}
+	l.delayFloor(now) // All nodes may have been lost just before.
+	return l
 }
 
 // grantorOf returns the Grantor of a process that starts now.
@@ -114,13 +116,15 @@
 	if before != l.cfg.Self || fleet.Allocator == "" {
 		return nil
 	}
-	// The successor must pace the reserves that this allocator would still pace, though it has not used them.
+	// The successor must know how far ahead each organisation may be, also of those that this allocator has granted nothing.
+	budgets := make(map[string]budget, len(l.buckets))
 	for name, b := range l.buckets {
-		if b.organisation.Rate > 0 {
-			l.allocator.reserveOf(now, name, l.budget(b.organisation))
+		if b.organisation.Rate > 0 && l.allocator.mayGrant(now) {
+			budgets[name] = l.budget(b.organisation)
+			l.allocator.reserveOf(now, name, budgets[name])
 		}
 	}
-	if handover := l.allocator.handOver(now, l.cfg.Window); handover.Handover > 0 {
+	if handover := l.allocator.handOver(now, l.cfg.Window, budgets); handover.Handover > 0 {
 		return []Send{{fleet.Allocator, handover}}
 	}
 	return nil
@@ -242,7 +246,7 @@
 // floorNow returns what this node may run of an organisation without the allocator now, in requests
 // in each window.
 func (l *Limiter) floorNow(now time.Time, o Organisation) float64 {
-	if now.Before(l.heldUntil.Add(ConfirmationTTL)) || now.Before(l.noFloorUntil) {
+	if now.Before(l.heldUntil) || now.Before(l.noFloorUntil) {
 		return 0
 	}
 	return l.cfg.floor(o, l.fleet.Nodes)
@@ -278,6 +282,7 @@
 		return nil
 	}
 	l.nextReport = now.Add(ReportInterval)
+	l.allocator.record.review = true
 	l.sequence++
 	for sequence, sentAt := range l.sentReports {
 		if now.Sub(sentAt) > ConfirmationTTL {
@@ -359,7 +364,8 @@
 	return budget{
 		window:    l.cfg.Window,
 		perWindow: max(0, perWindow+slackFraction*l.cfg.Slack-floors),
-		depth:     pacedDepth*perWindow + pacedSlack*l.cfg.Slack,
+		depth:     depthFraction*perWindow + depthSlack*l.cfg.Slack,
+		burst:     o.Burst,
 	}
 }
 
@@ -383,6 +389,14 @@
 	delete(l.sentReports, m.Sequence)
 	l.heldSequence, l.heldUntil = m.Sequence, sentAt.Add(ConfirmationTTL)
 	l.requestUntil = l.heldUntil
+	l.delayFloor(sentAt.Add(ReportInterval))
+}
+
+// delayFloor records that an allocator may have granted the whole reserve until a time.
+func (l *Limiter) delayFloor(granted time.Time) {
+	if until := granted.Add(floorDelay); until.After(l.noFloorUntil) {
+		l.noFloorUntil = until
+	}
 }
 
 // handleTokens adds the tokens that a token request was granted.
@@ -399,7 +413,8 @@
 	}
 	b.receive(now, l.cfg.Window, m.Grantor, m.Tokens.Value)
 	b.grant(m.Tokens.Value, requestedAt)
-	l.requestUntil, l.noFloorUntil = now.Add(ConfirmationTTL), now.Add(ConfirmationTTL)
+	l.requestUntil = now.Add(ConfirmationTTL)
+	l.delayFloor(now)
 }
 
 // State returns a snapshot with the organisations sorted by name.
--- a/internal/zone/dfpquota/reserve.go
+++ b/internal/zone/dfpquota/reserve.go
@@ -21,8 +21,16 @@
 	// paced is the number of tokens that may be granted while the reserve is short, at pacedAt.
 	paced   float64
 	pacedAt time.Time
-	// pacedFor is the allocator's majoritySince for which the first window was paced.
-	pacedFor time.Time
+	// level is, at levelAt, the largest number of tokens granted in any span up to then beyond what the even rate grants
+	// in that span.
+	level   float64
+	levelAt time.Time
+	// debt is how far ahead of the even rate the fleet may have run before debtAt by tokens that are not known, and
+	// sinceDebt is the number of tokens granted since.
+	debt, sinceDebt float64
+	debtAt          time.Time
+	// raiseAt is when a larger advance was last needed.
+	raiseAt time.Time
 	// nextPlace is the time for which the last request that was not granted was told to come back.
 	nextPlace time.Time
 }
@@ -31,30 +39,43 @@
 	// slackFraction is the part of a rate's slack that its reserve grants in each window.
 	slackFraction = 0.5
 	// paceFactor is how many times its even rate a reserve grants while it is short. Without this bound a
-	// flood would use up a whole window's tokens at once, window after window, and an allocator that
-	// does not know of them, as after all processes were lost, would grant as many again.
+	// flood would use up a whole window's tokens at once, window after window, and need an advance for as long as
+	// it lasts.
 	paceFactor = 1.1
-	// pacedDepth and pacedSlack are the parts of a window's requests and of the slack that may be granted at
-	// once while the reserve is short.
-	pacedDepth = 0.06
-	pacedSlack = 0.25
+	// depthFraction and depthSlack are the parts of a window's requests and of the slack that may be granted ahead of
+	// the even rate without an advance.
+	depthFraction = 0.06
+	depthSlack    = 0.25
+	// raiseMemory is how long an advance is kept after it was last needed.
+	raiseMemory = time.Second
 )
 
 // budget is what a reserve may grant.
 type budget struct {
 	window time.Duration
-	// perWindow is the number of tokens in each window, depth how many may be granted at once while the
-	// reserve is short.
-	perWindow, depth float64
+	// perWindow is the number of tokens in each window, and others how many of them other grantors have granted.
+	perWindow, others float64
+	// depth is how many tokens may be granted ahead of the even rate without an advance.
+	depth float64
+	// advance is how many more the store's record permits, and burst the most that it ever does: so much, with the
+	// even rate, is an organisation's own.
+	advance, burst float64
 }
 
-// interval returns the mean time between two tokens.
+// perSecond returns the even rate.
+func (b budget) perSecond() float64 { return b.perWindow / b.window.Seconds() }
+
+// maxAdvance returns the advance of a reserve that needs one.
+func (b budget) maxAdvance() float64 { return max(0, min(b.burst, b.perWindow-b.depth)) }
+
+// interval returns the time between the places that refused requests get: after depth tokens at once, one token in each
+// interval uses up the counted span, which is one slice longer than the window.
 func (b budget) interval() time.Duration {
-	return time.Duration(float64(b.window) / math.Max(1, b.perWindow))
+	return time.Duration(float64(b.window+b.window/reserveSlices) / math.Max(1, b.perWindow-b.depth))
 }
 
-// maxRetryAfter returns by when any token has left the count.
-func (b budget) maxRetryAfter() time.Duration { return b.window + 2*b.window/reserveSlices }
+// maxRetryAfter returns how far ahead places are given.
+func (b budget) maxRetryAfter() time.Duration { return 2 * b.window }
 
 func newReserve(now time.Time, window time.Duration) *reserve {
 	return &reserve{current: sliceNumber(now, window)}
@@ -66,27 +87,65 @@
 
 // take grants up to wanted whole tokens within a budget. It returns the number granted and, if that is
 // less than wanted, after what time there will be room for one more: each such answer gets a place of
-// its own.
-func (r *reserve) take(now time.Time, budget budget, wanted float64) (taken float64, retryAfter time.Duration) {
+// its own. Raise reports that a larger advance is needed soon.
+func (r *reserve) take(now time.Time, budget budget, wanted float64) (taken float64, retryAfter time.Duration, raise bool) {
 	r.advance(now, budget.window)
-	left := budget.perWindow - r.granted()
-	if r.short(now, budget.window) {
-		r.paced += paceFactor * budget.perWindow * max(0, now.Sub(r.pacedAt).Seconds()) / budget.window.Seconds()
+	left := budget.perWindow - budget.others - r.granted()
+	short := r.short(now, budget.window)
+	if short {
+		r.paced += paceFactor * budget.perSecond() * max(0, now.Sub(r.pacedAt).Seconds())
 		r.paced, r.pacedAt = min(r.paced, budget.depth), now
 		left = min(left, r.paced)
 	}
-	taken = math.Floor(max(0, min(wanted, left)))
+	if r.inDebt(now, budget.window) {
+		budget.advance = 0
+	}
+	ahead := r.ahead(now, budget)
+	permitted := budget.depth + budget.advance - ahead
+	taken = math.Floor(max(0, min(wanted, left, permitted)))
 	r.slices[r.index()] += taken
-	r.paced -= taken
+	r.paced, r.level, r.sinceDebt = r.paced-taken, r.level+taken, r.sinceDebt+taken
+	if !short && !r.inDebt(now, budget.window) && budget.advance < budget.maxAdvance() && permitted-taken < budget.depth/2 {
+		r.raiseAt, raise = now, true
+	}
 	if taken >= math.Floor(wanted) {
-		return taken, 0
+		return taken, 0, raise
 	}
-	if r.short(now, budget.window) {
+	if short {
 		r.shortAt = now
-	} else {
+	} else if left < wanted {
 		r.pace(now)
 	}
-	return taken, r.place(now, budget)
+	return taken, r.place(now, budget), raise
+}
+
+// ahead returns the largest number of tokens granted in any span up to now beyond what the even rate grants in that
+// span. Tokens that are not known count as if they had been granted right at debtAt.
+func (r *reserve) ahead(now time.Time, budget budget) float64 {
+	r.level = max(0, r.level-budget.perSecond()*max(0, now.Sub(r.levelAt).Seconds()))
+	r.levelAt = now
+	if !r.inDebt(now, budget.window) {
+		return r.level
+	}
+	return max(r.level, r.debt+r.sinceDebt-budget.perSecond()*now.Sub(r.debtAt).Seconds())
+}
+
+// inDebt reports whether the last window contains tokens that are not known.
+func (r *reserve) inDebt(now time.Time, window time.Duration) bool {
+	return !r.debtAt.IsZero() && now.Sub(r.debtAt) < window
+}
+
+// nextAdvance returns the advance that the store's record should have instead of the one that it has.
+func (r *reserve) nextAdvance(now time.Time, budget budget, held float64) float64 {
+	ahead := r.ahead(now, budget)
+	switch {
+	case !r.inDebt(now, budget.window) && now.Sub(r.raiseAt) < raiseMemory:
+		return budget.maxAdvance()
+	case ahead <= budget.depth:
+		return 0
+	default:
+		return max(held, ahead-budget.depth) // The limit may have been lowered.
+	}
 }
 
 // short reports whether the reserve is paced, since it granted less than was wanted in the last window.
@@ -98,7 +157,10 @@
 // place returns after what time a request finds room that was not granted now.
 func (r *reserve) place(now time.Time, budget budget) time.Duration {
 	interval := budget.interval()
-	first := now.Add(max(interval, r.roomAfter(now, budget)))
+	// The even rate catches up with what was granted ahead of it.
+	behind := r.ahead(now, budget) + 1 - budget.depth - budget.advance
+	evenAfter := time.Duration(behind / budget.perSecond() * float64(time.Second))
+	first := now.Add(max(interval, r.roomAfter(now, budget), evenAfter))
 	r.nextPlace = r.nextPlace.Add(interval)
 	if r.nextPlace.Before(first) {
 		r.nextPlace = first
@@ -111,15 +173,16 @@
 
 // roomAfter returns after what time enough slices have left the window for one more token.
 func (r *reserve) roomAfter(now time.Time, budget budget) time.Duration {
+	room := budget.perWindow - budget.others - 1
 	granted := r.granted()
 	for age := len(r.slices) - 1; age >= 0; age-- {
-		if granted <= budget.perWindow-1 {
+		if granted <= room {
 			leaves := (r.current + int64(len(r.slices)-1-age)) * int64(budget.window/reserveSlices)
 			return max(0, time.Duration(leaves-now.UnixNano()))
 		}
 		granted -= *r.sliceAt(age)
 	}
-	return budget.maxRetryAfter()
+	return budget.window + 2*budget.window/reserveSlices
 }
 
 // granted returns the number of tokens granted in the last window.
