REFUSED, TWICE: an answer that cannot be tied to its request is no answer on a kept connection

Cause: X-Not-Executed and status 421 counted without the request's id; only answers with another id were dropped, and their connection was used again. Ruled out: a request never goes to the same VM twice (dispatch excludes those tried), so its id proves what it names.

Fix: dfpanswer, the transport of all answers, checks the field that names the request while it reads the head, so that the connection ends before another request can get it. An answer without the field counts only as the first on its connection, and then only as "not run". In the product's protocol, where answers need not name their requests, Dragonflyport-Shed on a kept connection counts only with the id.

--- a/internal/link/dfpanswer/conn.go
+++ b/internal/link/dfpanswer/conn.go
@@ -51,13 +51,13 @@
 }
 
 // begin starts a request, whose answer is the next to arrive.
-func (c *conn) begin(upgrade bool) {
+func (c *conn) begin(upgrade bool, owner owner) {
 	c.writeMu.Lock()
 	c.upgrade, c.sent = upgrade, false
 	c.writeMu.Unlock()
 	c.headMu.Lock()
 	defer c.headMu.Unlock()
-	c.head = head{upgrade: upgrade}
+	c.head = head{upgrade: upgrade, owner: owner}
 }
 
 // checked reports whether the head of the final answer to the last request has arrived and is valid.
--- a/internal/link/dfpanswer/dfpanswer.go
+++ b/internal/link/dfpanswer/dfpanswer.go
@@ -9,6 +9,9 @@
 // once, to the call that comes first. If that is a write, the next read returns io.EOF, which looks like the end of an
 // answer without a length. A read here returns io.EOF only if no write has failed.
 //
+// A server may also send bytes after an answer that belong to no request, such as an earlier answer once more. Where
+// answers name their requests, the transport therefore checks the name.
+//
 // # Usage
 //
 //	transport := dfpanswer.New(dfpanswer.Config{IdleTimeout: 2 * time.Second})
@@ -44,13 +47,22 @@
 	IdleTimeout time.Duration
 	// DisableKeepAlives makes each connection serve one request.
 	DisableKeepAlives bool
+	// IDField, if not empty, is the field in which a request has an id and an answer names its request. An answer
+	// that names another request is invalid, as a late one on a connection that is used again.
+	IDField string
+	// IDRequired says that all answers have IDField. One without it is then invalid too, unless it is the first on its
+	// connection: bytes that belong to no request can only follow an answer.
+	IDRequired bool
 	// MaxHeader is the maximum size of the head of an answer in bytes; 64 KiB by default.
 	MaxHeader int64
 }
 
 // Transport is an http.RoundTripper that returns only valid answers. It asks for no content encoding. It is safe for
 // concurrent use.
-type Transport struct{ http *http.Transport }
+type Transport struct {
+	cfg  Config
+	http *http.Transport
+}
 
 // New returns a transport with its own connection pool.
 func New(cfg Config) *Transport {
@@ -60,7 +72,8 @@
 	if cfg.MaxHeader == 0 {
 		cfg.MaxHeader = defaultMaxHeader
 	}
-	return &Transport{&http.Transport{
+	cfg.IDField = http.CanonicalHeaderKey(cfg.IDField)
+	return &Transport{cfg, &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			c, err := cfg.Dial(ctx, network, address)
 			if err != nil {
@@ -82,7 +95,9 @@
 	var used *conn
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		used = info.Conn.(*conn)
-		used.begin(req.Header.Get("Upgrade") != "")
+		used.begin(req.Header.Get("Upgrade") != "", owner{
+			field: t.cfg.IDField, id: req.Header.Get(t.cfg.IDField), required: t.cfg.IDRequired && info.Reused,
+		})
 	}}
 	resp, err := t.http.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
 	if err != nil {
--- a/internal/link/dfpanswer/head.go
+++ b/internal/link/dfpanswer/head.go
@@ -37,11 +37,23 @@
 	return nil
 }
 
+// owner is the request that an answer must belong to.
+type owner struct {
+	// field is the canonical name of the field that names a request; empty if none does. id is its value.
+	field, id string
+	// required says that an answer without the field is not the request's.
+	required bool
+}
+
 // head checks the heads of the answers to one request, up to that of the final answer, as their bytes arrive (RFC 9112,
 // sections 4 to 6). It accepts lines that end without a carriage return. What it does not check, net/http does.
 type head struct {
 	// upgrade says that the request asks for another protocol.
 	upgrade bool
+	// owner is how the answer names its request.
+	owner owner
+	// named says that the answer names a request, and foreign that it names another one.
+	named, foreign bool
 	// begun is set by the first byte, and done after the final head.
 	begun, done bool
 	// line is the beginning of a line whose end has not arrived.
@@ -93,6 +105,8 @@
 		h.length = value
 	case "Transfer-Encoding":
 		h.chunked = true
+	case h.owner.field:
+		h.named, h.foreign = true, h.foreign || value != h.owner.id
 	}
 	return checkField(name, value)
 }
@@ -128,7 +142,9 @@
 	case bodyless && strings.Trim(h.length, "0") != "":
 		return fmt.Errorf("%w: Content-Length %.80q with status %d", ErrInvalid, h.length, h.status)
 	case h.informational():
-		*h = head{upgrade: h.upgrade, begun: true}
+		*h = head{upgrade: h.upgrade, owner: h.owner, begun: true}
+	case h.foreign, h.owner.required && !h.named:
+		return fmt.Errorf("%w: it does not name its request in the field %s", ErrInvalid, h.owner.field)
 	default:
 		h.done, h.line = true, nil
 	}
--- a/internal/link/dfpbackend/dfpbackend.go
+++ b/internal/link/dfpbackend/dfpbackend.go
@@ -39,7 +39,8 @@
 const (
 	// HeaderParent is a token for the running request. The backend server sends it with its nested calls.
 	HeaderParent = "Dragonflyport-Parent"
-	// HeaderRequest is the request's id.
+	// HeaderRequest is the request's id. The backend server may repeat it in its answer, which then counts only if it
+	// is this request's. Without it, HeaderShed counts only in the first answer on a connection.
 	HeaderRequest = "Dragonflyport-Request"
 	// HeaderOrganisation is the organisation on whose behalf the request runs.
 	HeaderOrganisation = "Dragonflyport-Organisation"
@@ -114,6 +115,7 @@
 		MaxIdleConnections: max(cfg.MaxConnections, 64),
 		IdleTimeout:        cfg.IdleTimeout,
 		MaxHeader:          maxAnswerHeader,
+		IDField:            HeaderRequest,
 	})}
 }
 
@@ -147,9 +149,9 @@
 // nil if no answer has arrived.
 func (c *Client) Run(ctx context.Context, address string, req *dfpcall.Request, parent string) (dfpcall.Outcome, *dfpcall.Notice) {
 	// Only a request that was handed to a connection can have run.
-	var sent atomic.Bool
+	var used atomic.Pointer[httptrace.GotConnInfo]
 	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { sent.Store(true) },
+		GotConn: func(info httptrace.GotConnInfo) { used.Store(&info) },
 	})
 	out, err := c.newRequest(traced, address, req, parent)
 	if err != nil {
@@ -157,7 +159,7 @@
 	}
 	resp, err := c.transport.RoundTrip(out)
 	if err != nil {
-		return Failure(ctx, dfpcall.ReasonBackendFailed, sent.Load(), req), nil
+		return Failure(ctx, dfpcall.ReasonBackendFailed, used.Load() != nil, req), nil
 	}
 	defer resp.Body.Close()
 	header := resp.Header
@@ -167,7 +169,13 @@
 		return Failure(ctx, dfpcall.ReasonBackendFailed, true, req), notice
 	}
 	RemoveHopHeaders(header)
+	named := header.Get(HeaderRequest) != ""
+	header.Del(HeaderRequest)
 	if resp.StatusCode == http.StatusServiceUnavailable && header.Get(HeaderShed) == "yes" {
+		if conn := used.Load(); conn.Reused && !named {
+			_ = conn.Conn.Close() // The answer to this request may follow.
+			return &dfpcall.Unknown{Reason: dfpcall.ReasonBackendFailed, Budget: req.Budget}, nil
+		}
 		return &dfpcall.NotRun{Reason: dfpcall.ReasonOverload, RetryAfter: retryAfterOf(header), Budget: req.Budget}, notice
 	}
 	// On any other response the header would be passed on to the caller, for whom it would be false.
--- a/internal/link/dfpbackend/dfpbackend_test.go
+++ b/internal/link/dfpbackend/dfpbackend_test.go
@@ -99,6 +99,35 @@
 	}
 }
 
+// TestShedOfAnotherRequest has the backend server send an earlier answer, "shed", once more on a kept connection while it
+// runs the next request. That one must not be reported as not run, nor the connection be used again.
+func TestShedOfAnotherRequest(t *testing.T) {
+	const shed = "HTTP/1.1 503 No\r\nDragonflyport-Shed: yes\r\n"
+	const empty = "Content-Length: 0\r\n\r\n"
+	for _, tc := range []struct{ name, answer, want string }{
+		{"without an id", shed + empty, "unknown backend_failed"},
+		{"with another id", shed + "Dragonflyport-Request: 9-1\r\n" + empty, "unknown backend_failed"},
+		{"with its id", shed + "Dragonflyport-Request: 0000000000000001-2\r\n" + empty, "not_run overload"},
+		{"an answer with another id", "HTTP/1.1 200 OK\r\nDragonflyport-Request: 9-1\r\n" + empty, "unknown backend_failed"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			address, read := rawServer(t, completeResponse, tc.answer, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate")
+			client := newClient(t, dfpbackend.Config{})
+			run := func() string {
+				req := &dfpcall.Request{ID: dfpcall.RequestID{Incarnation: 1, Counter: 2}, Method: "POST", Path: "/order", Body: []byte("one")}
+				out, _ := client.Run(t.Context(), address, req, "token")
+				return describe(out)
+			}
+			assert.Equal(t, run(), "answer 200 hello")
+			assert.Equal(t, run(), tc.want)
+			assert.Equal(t, read.Load(), int64(2))
+			if tc.want != "not_run overload" {
+				assert.Equal(t, run(), "answer 200 hello", "the connection was used again")
+			}
+		})
+	}
+}
+
 // TestNotices checks what an answer says about the backend server, and that the caller is not sent it.
 func TestNotices(t *testing.T) {
 	for _, tc := range []struct {
--- a/internal/standin/dfpbackendserver/dfpbackendserver.go
+++ b/internal/standin/dfpbackendserver/dfpbackendserver.go
@@ -39,7 +39,8 @@
 
 // Headers that a backend server reads or sets.
 const (
-	HeaderParent       = "Dragonflyport-Parent"
+	HeaderParent = "Dragonflyport-Parent"
+	// HeaderRequest is the request's id, which the response repeats.
 	HeaderRequest      = "Dragonflyport-Request"
 	HeaderOrganisation = "Dragonflyport-Organisation"
 	HeaderDeadline     = "Dragonflyport-Deadline-Ms"
--- a/internal/standin/dfpbackendserver/handler.go
+++ b/internal/standin/dfpbackendserver/handler.go
@@ -83,6 +83,7 @@
 
 func (s *Server) serveRequest(response http.ResponseWriter, r *http.Request) {
 	w := &noticeWriter{response, s}
+	w.Header().Set(HeaderRequest, r.Header.Get(HeaderRequest))
 	ctx, cancel := s.requestContext(r)
 	defer cancel()
 	if _, err := io.Copy(io.Discard, http.MaxBytesReader(w, r.Body, maxBodyBytes)); err != nil {
