Quota: what an earlier allocator granted stays recorded also if its successor gets no request

Cause, found on reading: an allocator whose term begins again kept its old count of an organisation until a request came, and by it withdrew the advance that another allocator had used in between. A third one would not have known of it. nextRecord now uses the same view of a reserve as takeTokens.

--- a/internal/vm/dfpnode/dfpnode_departure.go
+++ b/internal/vm/dfpnode/dfpnode_departure.go
@@ -24,7 +24,7 @@
 	maxUnreadTime = 5 * time.Second
 )
 
-// errDepartureNotStored is wrapped by the error of Depart.
+// errDepartureNotStored is returned by Depart.
 var errDepartureNotStored = errors.New("departure of the backend server's instance is not stored yet")
 
 // departureLoop keeps the departures of this VM's instances in the platform, so that the node's next process
--- a/internal/vm/dfpnode/dfpnode_quota.go
+++ b/internal/vm/dfpnode/dfpnode_quota.go
@@ -66,7 +66,7 @@
 	call := l.storeCall(now)
 	l.mu.Unlock()
 	l.send(sends)
-	l.start(call)
+	l.makeCall(call)
 }
 
 // storeCall returns the call to the platform that is due. l.mu must be held.
@@ -77,8 +77,8 @@
 	return l.limiter.StoreCall(now)
 }
 
-// start makes a call to the platform in a goroutine of its own; nil is none.
-func (l *quotaLoop) start(call dfpquota.StoreCall) {
+// makeCall makes a call to the platform in a goroutine of its own; nil is none.
+func (l *quotaLoop) makeCall(call dfpquota.StoreCall) {
 	switch call := call.(type) {
 	case *dfpquota.ReadRecord:
 		l.n.group.Go(func() error { l.readRecord(); return nil })
@@ -141,7 +141,7 @@
 		arrived := l.arrivals.of(organisation)
 		l.mu.Unlock()
 		l.send(sends)
-		l.start(call)
+		l.makeCall(call)
 		switch v := result.(type) {
 		case *dfpquota.Granted:
 			return func() { l.returnToken(organisation, v.At) }, nil
--- a/internal/zone/dfpquota/loss_test.go
+++ b/internal/zone/dfpquota/loss_test.go
@@ -140,3 +140,39 @@
 		})
 	}
 }
+
+// TestRecordOutlivesSilentTerm lets an allocator lose its term and gain it again, while another one has granted an advance
+// in between: the record must keep that until the even rate has made up for it, though no request comes and the
+// allocator's own count of the organisation is old.
+func TestRecordOutlivesSilentTerm(t *testing.T) {
+	o := dfpquota.Organisation{Name: testOrganisation, Rate: 100, Burst: 300}
+	const nodes = 5
+	sim := newSimulation(nodes, o)
+	rnd := rand.New(rand.NewPCG(1, 1))
+	run := func(d time.Duration, perStep int) {
+		for end := sim.now.Add(d); sim.now.Before(end); {
+			sim.advance()
+			for range perStep {
+				sim.request(name(2 + rnd.IntN(nodes-2)))
+			}
+		}
+	}
+	run(warmUp, 1)
+	sim.disconnected[name(0)] = true
+	sim.changeAllocator(name(1), rnd)
+	delete(sim.changes, name(0)) // It learns of no other allocator, and keeps its counts.
+	run(8*time.Second, 0)
+	run(500*time.Millisecond, 10)
+	assert.Equal(t, len(sim.store.record), 1)
+	sim.disconnected[name(0)], sim.disconnected[name(1)] = false, true
+	sim.changeAllocator(name(0), rnd)
+	lost := sim.now
+	for len(sim.store.record) > 0 {
+		run(step, 0)
+	}
+	even := o.Rate + o.Burst/config.Window.Seconds()
+	least := time.Duration(o.Burst / even * 0.9 * float64(time.Second))
+	assert.Assert(t, sim.now.Sub(lost) >= dfpquota.ConfirmationTTL+least, "the record was dropped after %v", sim.now.Sub(lost))
+	run(6*time.Second, 10)
+	assert.Assert(t, sim.maxPerWindow() <= allowed(o), "%d of %d", sim.maxPerWindow(), allowed(o))
+}
--- a/internal/zone/dfpquota/record.go
+++ b/internal/zone/dfpquota/record.go
@@ -89,24 +89,21 @@
 func (l *Limiter) nextRecord(now time.Time) map[string]float64 {
 	a := &l.allocator
 	next := map[string]float64{}
+	for name, held := range a.record.permitted {
+		if l.buckets[name] == nil && now.Sub(a.termSince) < l.cfg.Window {
+			next[name] = held // The rules that name the organisation may not have arrived yet.
+		}
+	}
 	for name, b := range l.buckets {
-		r := a.reserves[name]
-		if r == nil || b.organisation.Rate <= 0 {
+		held := a.record.permitted[name]
+		if b.organisation.Rate <= 0 || a.reserves[name] == nil && held == 0 {
 			continue
 		}
 		budget := l.budget(b.organisation)
-		if advance := r.nextAdvance(now, budget, a.record.permitted[name]); advance > 0 {
+		if advance := a.reserveOf(now, name, budget).nextAdvance(now, budget, held); advance > 0 {
 			next[name] = advance
 		}
 	}
-	// Of organisations that this process grants nothing, what an earlier one may have granted stays for a window.
-	if now.Sub(a.termSince) < l.cfg.Window {
-		for name, tokens := range a.record.permitted {
-			if a.reserves[name] == nil || l.buckets[name] == nil {
-				next[name] = tokens
-			}
-		}
-	}
 	return next
 }
 
