--- a/internal/zone/dfpquota/limiter.go
+++ b/internal/zone/dfpquota/limiter.go
@@ -365,7 +365,6 @@
 		window:    l.cfg.Window,
 		perWindow: max(0, perWindow+slackFraction*l.cfg.Slack-floors),
 		depth:     depthFraction*perWindow + depthSlack*l.cfg.Slack,
-		burst:     o.Burst,
 	}
 }
 
--- a/internal/zone/dfpquota/record.go
+++ b/internal/zone/dfpquota/record.go
@@ -12,7 +12,7 @@
 	// raiseInterval and lowerInterval are the least times from one write of the record to the next one that raises
 	// an advance, and to one that only lowers some.
 	raiseInterval = 50 * time.Millisecond
-	lowerInterval = time.Second
+	lowerInterval = 500 * time.Millisecond
 	// storeBackoff is the time after a failed call to the store.
 	storeBackoff = 250 * time.Millisecond
 )
--- a/internal/zone/dfpquota/reserve.go
+++ b/internal/zone/dfpquota/reserve.go
@@ -46,8 +46,11 @@
 	// the even rate without an advance.
 	depthFraction = 0.06
 	depthSlack    = 0.25
-	// raiseMemory is how long an advance is kept after it was last needed.
-	raiseMemory = time.Second
+	// advanceSteps is the number of steps in which an advance rises, so that one that is needed only in part costs
+	// less if the allocator is lost.
+	advanceSteps = 4
+	// raiseMemory is how long an advance is kept after it was last raised.
+	raiseMemory = 400 * time.Millisecond
 )
 
 // budget is what a reserve may grant.
@@ -57,16 +60,15 @@
 	perWindow, others float64
 	// depth is how many tokens may be granted ahead of the even rate without an advance.
 	depth float64
-	// advance is how many more the store's record permits, and burst the most that it ever does: so much, with the
-	// even rate, is an organisation's own.
-	advance, burst float64
+	// advance is how many more the store's record permits.
+	advance float64
 }
 
 // perSecond returns the even rate.
 func (b budget) perSecond() float64 { return b.perWindow / b.window.Seconds() }
 
-// maxAdvance returns the advance of a reserve that needs one.
-func (b budget) maxAdvance() float64 { return max(0, min(b.burst, b.perWindow-b.depth)) }
+// maxAdvance returns the largest advance of use, with which the reserve may grant a window's tokens at once.
+func (b budget) maxAdvance() float64 { return max(0, b.perWindow-b.depth) }
 
 // interval returns the time between the places that refused requests get: after depth tokens at once, one token in each
 // interval uses up the counted span, which is one slice longer than the window.
@@ -135,16 +137,19 @@
 	return !r.debtAt.IsZero() && now.Sub(r.debtAt) < window
 }
 
-// nextAdvance returns the advance that the store's record should have instead of the one that it has.
+// nextAdvance returns the advance that the store's record should have instead of the one that it has: one step more than
+// what is needed if it was raised lately, and otherwise the least that covers what was granted.
 func (r *reserve) nextAdvance(now time.Time, budget budget, held float64) float64 {
-	ahead := r.ahead(now, budget)
+	step := max(1, budget.maxAdvance()/advanceSteps)
+	needed := r.ahead(now, budget) - budget.depth
+	least := step * math.Ceil(max(0, needed)/step)
 	switch {
-	case !r.inDebt(now, budget.window) && now.Sub(r.raiseAt) < raiseMemory:
-		return budget.maxAdvance()
-	case ahead <= budget.depth:
-		return 0
+	case r.inDebt(now, budget.window):
+		return min(max(held, needed), least)
+	case now.Sub(r.raiseAt) < raiseMemory:
+		return max(held, min(budget.maxAdvance(), least+step))
 	default:
-		return max(held, ahead-budget.depth) // The limit may have been lowered.
+		return least
 	}
 }
 
