--- a/internal/zone/dfpquota/allocator.go
+++ b/internal/zone/dfpquota/allocator.go
@@ -23,8 +23,8 @@
 	// others holds what each node has run of other grantors' tokens.
 	others map[string]otherUsage
 	// handoverUntil is until when this allocator grants from reserves that another one handed over,
-	// without being established.
-	handoverUntil time.Time
+	// without being established, and limitedUntil is until when its successors may.
+	handoverUntil, limitedUntil time.Time
 	// majorityDeadline is when a majority must report here after a handover. Until then nodes that
 	// report to no allocator run nothing.
 	majorityDeadline time.Time
@@ -178,12 +178,15 @@
 
 // handOver returns the handover to the next allocator; one without a time if this one granted nothing. It
 // resets the allocator, which from then on grants nothing. An allocator that still depends on a handover
-// itself passes on the rest of that handover's time, since nodes whose confirmations expire meanwhile
-// use their floors.
+// itself passes on what is left of handoverLimit, since nodes use their floors after it.
 func (a *allocator) handOver(now time.Time, window time.Duration, budgets map[string]budget) Message {
-	m := Message{Handover: max(0, a.handoverUntil.Sub(now)), Grantors: a.grantors}
-	if a.established(now) {
-		m.Handover = handoverTTL
+	m := Message{Grantors: a.grantors}
+	switch {
+	case a.established(now):
+		m.Handover, m.HandoverLimit = handoverTTL, handoverLimit
+	case a.mayGrant(now):
+		m.HandoverLimit = max(0, a.limitedUntil.Sub(now))
+		m.Handover = min(handoverTTL, m.HandoverLimit)
 	}
 	for organisation, r := range a.reserves {
 		for _, o := range a.others {
@@ -212,6 +215,7 @@
 // takeOver continues the reserves of another allocator. What was granted here counts, too.
 func (a *allocator) takeOver(now time.Time, window time.Duration, m Message) {
 	a.handoverUntil, a.majorityDeadline = now.Add(min(m.Handover, handoverTTL)), now.Add(allocatorChangeTime)
+	a.limitedUntil = now.Add(min(m.HandoverLimit, handoverLimit))
 	for _, g := range m.Grantors {
 		if !slices.Contains(a.grantors, g) {
 			a.grantors = append(a.grantors, g)
--- a/internal/zone/dfpquota/dfpquota.go
+++ b/internal/zone/dfpquota/dfpquota.go
@@ -33,7 +33,8 @@
 //     established: that bounds what it cannot know.
 //   - An allocator that is replaced, because it leaves or because a node with a lower address has
 //     joined, hands its reserves over and grants nothing from then on. Its successor grants from
-//     them for handoverTTL, within which a majority must report to it.
+//     them for handoverTTL, within which a majority must report to it. It may be replaced in turn meanwhile, but within
+//     handoverLimit an allocator must be established.
 //
 // Nothing but that record outlives a process.
 //
@@ -79,6 +80,9 @@
 	// handoverTTL is how long an allocator that is not yet established grants from reserves that
 	// were handed over to it.
 	handoverTTL = ConfirmationTTL + allocatorChangeTime
+	// handoverLimit is how long allocators that are not established grant one after another. Nodes that get neither
+	// confirmations nor tokens in that time have their floors after it.
+	handoverLimit = floorDelay
 	// floorFraction is the part of each rate that nodes without a confirmation divide evenly. Its use
 	// in the rest of a window in which the whole reserve was granted before the allocator was lost
 	// must fit into the tolerance, also if the next allocators are lost, too. So nodes use it only floorDelay after
@@ -198,6 +202,9 @@
 	// Handover, if not 0, makes this a handover: the sender grants no tokens any more, and the
 	// receiver may grant from the sender's reserves for this time before it is established.
 	Handover time.Duration `cbor:"7,keyasint,omitempty"`
+	// HandoverLimit is, in a handover, the time within which all further ones must have ended until an allocator is
+	// established again.
+	HandoverLimit time.Duration `cbor:"13,keyasint,omitempty"`
 	// Grantors are, in a handover, those whose grants ReserveUsage includes.
 	Grantors []Grantor `cbor:"11,keyasint,omitempty"`
 	// ReserveUsage is, in a handover, what was granted of each reserve, and in a report what the node
--- a/internal/zone/dfpquota/dfpquota_test.go
+++ b/internal/zone/dfpquota/dfpquota_test.go
@@ -356,6 +356,25 @@
 	assert.Assert(t, refused < 0.05, "%.3f refused", refused)
 }
 
+// TestPlannedAllocatorChangeTwice replaces the allocator, and its successor in turn before that is established, as when
+// nodes are stopped and started one after another: the handovers must bridge the whole time.
+func TestPlannedAllocatorChangeTwice(t *testing.T) {
+	for _, pause := range []time.Duration{500 * time.Millisecond, time.Second, 1600 * time.Millisecond} {
+		t.Run(pause.String(), func(t *testing.T) {
+			change := func(sim *simulation, rnd *rand.Rand) {
+				sim.changeAllocator(name(5), rnd)
+				for end := sim.now.Add(pause); sim.now.Before(end); {
+					sim.advance()
+					sim.request(name(rnd.IntN(len(sim.limiters))))
+				}
+				sim.changeAllocator(name(2), rnd)
+			}
+			refused := refusedAround(t, change, 15*time.Second+pause, 21*time.Second)
+			assert.Assert(t, refused < 0.05, "%.3f refused", refused)
+		})
+	}
+}
+
 // TestWholeFleetRestarts restarts all nodes at once, as after a power failure: they must not be limited
 // to their floors for long.
 func TestWholeFleetRestarts(t *testing.T) {
