--- a/internal/vm/dfpnode/dfpnode_departure.go
+++ b/internal/vm/dfpnode/dfpnode_departure.go
@@ -66,22 +66,23 @@
 		return nil
 	}
 	current, _ := n.guard.state()
-	if instance == current.Instance && started == 0 {
+	isCurrent := instance == current.Instance
+	if isCurrent && started == 0 {
 		started = current.Started
 	}
-	named := instance != ""
-	if named && started == 0 {
-		started = time.Now().UnixMilli()
+	if instance == "" {
+		if isCurrent {
+			n.Drain()
+		}
+		return nil // The next process could not tell the instance from a new one.
 	}
-	if named {
-		n.departures.add(dfpinstance.Departure{Instance: instance, Started: started})
+	if started == 0 {
+		started = time.Now().UnixMilli()
 	}
-	if current.Instance == instance && current.Started <= started {
+	n.departures.add(dfpinstance.Departure{Instance: instance, Started: started})
+	if isCurrent && current.Started <= started {
 		n.Drain()
 	}
-	if !named {
-		return nil // The next process could not tell the instance from a new one.
-	}
 	return n.departures.awaitStored(ctx)
 }
 
