--- a/review/harness-3/rig/backend.go
+++ b/review/harness-3/rig/backend.go
@@ -5,6 +5,8 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
+	"math/rand"
 	"net"
 	"net/http"
 	"strconv"
@@ -23,12 +25,20 @@
 	record                     *Record
 	server                     *http.Server
 
-	mu    sync.Mutex
+	mu sync.Mutex
+	// lose is the share of the answers that are lost: the request runs, and then its connection is reset.
+	lose float64
+	// slow, if not 0, is how many times as long requests work.
+	slow int
+	// again holds when requests arrived that had arrived here before.
+	again []time.Time
 	used  int
 	seq   int
 	state string
-	// runs counts how often each request ran.
-	runs map[string]int
+	// runs counts how often each request ran, and working how many of these runs have not ended.
+	runs, working map[string]int
+	// left holds the requests whose connection was closed while they ran.
+	left map[string]bool
 }
 
 // StartBackend starts a backend server at its address. The caller sets the exported fields.
@@ -37,7 +47,7 @@
 	if err != nil {
 		return err
 	}
-	b.record, b.state, b.runs, b.Born = record, "ready", map[string]int{}, time.Now().UnixMilli()
+	b.record, b.state, b.runs, b.working, b.left, b.Born = record, "ready", map[string]int{}, map[string]int{}, map[string]bool{}, time.Now().UnixMilli()
 	b.server = &http.Server{Handler: http.HandlerFunc(b.serve)}
 	Go(func() { _ = b.server.Serve(l) })
 	Go(b.beat)
@@ -51,6 +61,41 @@
 	return b.runs[id]
 }
 
+// Working returns how many runs of a request have not ended.
+func (b *Backend) Working(id string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.working[id]
+}
+
+// Left reports whether the connection of a request was closed while it ran.
+func (b *Backend) Left(id string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.left[id]
+}
+
+// Slow makes requests that begin from now on work a number of times as long.
+func (b *Backend) Slow(factor int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.slow = factor
+}
+
+// Lose sets the share of the requests that run and whose answers are lost from now on.
+func (b *Backend) Lose(share float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.lose = share
+}
+
+// Again returns when requests arrived that had arrived here before.
+func (b *Backend) Again() []time.Time {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return append([]time.Time(nil), b.again...)
+}
+
 // beat sends heartbeats until the process ends.
 func (b *Backend) beat() {
 	for {
@@ -99,7 +144,11 @@
 	full := b.used >= b.Slots
 	if !full {
 		b.used++
+		if b.runs[id] > 0 {
+			b.again = append(b.again, time.Now())
+		}
 		b.runs[id]++
+		b.working[id]++
 	}
 	b.mu.Unlock()
 	if full {
@@ -107,6 +156,7 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	_, _ = io.Copy(io.Discard, r.Body)
 	b.record.Printf("run      %s at %s", id, b.ID)
 	parts := strings.Split(strings.Trim(r.URL.Path, "/"), "/")
 	work, size := 0, 0
@@ -114,13 +164,31 @@
 		work, _ = strconv.Atoi(parts[len(parts)-2])
 		size, _ = strconv.Atoi(parts[len(parts)-1])
 	}
+	b.mu.Lock()
+	work *= max(b.slow, 1)
+	b.mu.Unlock()
 	select {
 	case <-time.After(time.Duration(work) * time.Millisecond):
 	case <-r.Context().Done():
+		b.record.Printf("left     %s at %s: its connection was closed while it ran", id, b.ID)
+		b.mu.Lock()
+		b.left[id] = true
+		b.mu.Unlock()
 	}
 	b.mu.Lock()
 	b.used--
+	b.working[id]--
+	lost := rand.Float64() < b.lose
 	b.mu.Unlock()
+	b.record.Printf("ran      %s at %s", id, b.ID)
+	if lost {
+		if conn, _, err := w.(http.Hijacker).Hijack(); err == nil {
+			b.record.Printf("lost     the answer to %s at %s: connection reset", id, b.ID)
+			_ = conn.(*net.TCPConn).SetLinger(0)
+			_ = conn.Close()
+		}
+		return
+	}
 	w.Header().Set(Wire("seal"), "seal of "+id)
 	w.Header().Set("Content-Type", "application/octet-stream")
 	w.Header().Set("Content-Length", strconv.Itoa(size))
--- a/review/harness-3/rig/cluster.go
+++ b/review/harness-3/rig/cluster.go
@@ -114,3 +114,22 @@
 	}
 	return n
 }
+
+// Working returns how many runs of a request have not ended, at all backend servers.
+func (c *Cluster) Working(id string) int {
+	n := 0
+	for _, b := range c.Backends {
+		n += b.Working(id)
+	}
+	return n
+}
+
+// Left reports whether the connection of a request was closed while it ran at a backend server.
+func (c *Cluster) Left(id string) bool {
+	for _, b := range c.Backends {
+		if b.Left(id) {
+			return true
+		}
+	}
+	return false
+}
--- a/review/harness-3/rig/site.go
+++ b/review/harness-3/rig/site.go
@@ -38,7 +38,7 @@
 			"rows":    routeRows,
 		},
 		"services": map[string]any{"columns": []string{"name", "health_path", "max_connections"}, "rows": serviceRows},
-		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "header_timeout": "3000ms", "idle_timeout": "15000ms"},
+		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 67108864, "header_timeout": "3000ms", "idle_timeout": "15000ms"},
 		"tenants": map[string]any{
 			"columns": []string{"name", "api_keys", "priority", "rate_per_s", "burst"},
 			"rows":    [][]any{{"tenant", []string{Key}, 1, rate, burst}},
