--- a/review/harness-3/rig/backend.go
+++ b/review/harness-3/rig/backend.go
@@ -37,6 +37,8 @@
 	state string
 	// runs counts how often each request ran, and working how many of these runs have not ended.
 	runs, working map[string]int
+	// ranAt is when each request first began to run.
+	ranAt map[string]time.Time
 	// left holds the requests whose connection was closed while they ran.
 	left map[string]bool
 }
@@ -47,6 +49,7 @@
 	if err != nil {
 		return err
 	}
+	b.ranAt = map[string]time.Time{}
 	b.record, b.state, b.runs, b.working, b.left, b.Born = record, "ready", map[string]int{}, map[string]int{}, map[string]bool{}, time.Now().UnixMilli()
 	b.server = &http.Server{Handler: http.HandlerFunc(b.serve)}
 	Go(func() { _ = b.server.Serve(l) })
@@ -68,6 +71,14 @@
 	return b.working[id]
 }
 
+// RanAt returns when the request first began to run here.
+func (b *Backend) RanAt(id string) (time.Time, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	at, found := b.ranAt[id]
+	return at, found
+}
+
 // Left reports whether the connection of a request was closed while it ran.
 func (b *Backend) Left(id string) bool {
 	b.mu.Lock()
@@ -144,7 +155,9 @@
 	full := b.used >= b.Slots
 	if !full {
 		b.used++
-		if b.runs[id] > 0 {
+		if b.runs[id] == 0 {
+			b.ranAt[id] = time.Now()
+		} else {
 			b.again = append(b.again, time.Now())
 		}
 		b.runs[id]++
--- a/review/harness-3/rig/store.go
+++ b/review/harness-3/rig/store.go
@@ -38,6 +38,7 @@
 	leases   map[uint64]*lease
 	nextID   uint64
 	changed  chan struct{}
+	era      int
 	// turn, if not nil, may answer a call before the store does; it reports whether it has.
 	turn func(w http.ResponseWriter, r *http.Request) bool
 }
@@ -48,7 +49,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Store{Address: l.Addr().String(), record: record, revision: 100, items: map[string]Item{}, leases: map[uint64]*lease{}, nextID: 7, changed: make(chan struct{})}
+	s := &Store{Address: l.Addr().String(), record: record, revision: 100, items: map[string]Item{}, leases: map[uint64]*lease{}, nextID: 7, changed: make(chan struct{}), era: 1}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /kv-key", s.get)
 	mux.HandleFunc("GET /kv-range", s.list)
@@ -59,12 +60,12 @@
 	mux.HandleFunc("DELETE /kv-lease-end/{id}", s.end)
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.mu.Lock()
-		turn := s.turn
+		turn, era := s.turn, s.era
 		s.mu.Unlock()
 		if turn != nil && turn(w, r) {
 			return
 		}
-		w.Header().Set(Wire("era"), "1")
+		w.Header().Set(Wire("era"), strconv.Itoa(era))
 		mux.ServeHTTP(w, r)
 	})}
 	Go(func() { _ = server.Serve(l) })
@@ -177,9 +178,17 @@
 	wait, _ := strconv.Atoi(query.Get("wait_ms"))
 	timer := time.NewTimer(time.Duration(wait) * time.Millisecond)
 	defer timer.Stop()
+	s.mu.Lock()
+	begun := s.era
+	s.mu.Unlock()
 	for over := false; ; {
 		s.mu.Lock()
 		s.expire()
+		if s.era != begun || after > s.revision {
+			s.mu.Unlock()
+			reply(w, http.StatusGone, map[string]any{})
+			return
+		}
 		events := []Item{}
 		for _, e := range s.events {
 			if e.Revision > after && strings.HasPrefix(e.Key, query.Get("prefix")) {
@@ -311,3 +320,57 @@
 	defer s.mu.Unlock()
 	return s.items[key].Value
 }
+
+// Copy is what the store held at a moment.
+type Copy struct {
+	revision, nextID uint64
+	items            map[string]Item
+	leases           map[uint64]lease
+	events           int
+}
+
+// Copy returns a copy of what the store holds.
+func (s *Store) Copy() *Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	c := &Copy{revision: s.revision, nextID: s.nextID, items: map[string]Item{}, leases: map[uint64]lease{}, events: len(s.events)}
+	for key, i := range s.items {
+		c.items[key] = i
+	}
+	for id, l := range s.leases {
+		c.leases[id] = *l
+	}
+	return c
+}
+
+// Restore brings the store back from a copy, in the next era. What was written since is gone, but for what the operator
+// wrote. Leases of the copy run from now on.
+func (s *Store) Restore(c *Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	operator := map[string]Item{}
+	for key, i := range s.items {
+		if strings.HasPrefix(key, "op/") {
+			operator[key] = i
+		}
+	}
+	s.era++
+	s.revision, s.nextID, s.items, s.leases = c.revision, c.nextID, map[string]Item{}, map[uint64]*lease{}
+	s.events = s.events[:c.events:c.events]
+	for key, i := range c.items {
+		s.items[key] = i
+	}
+	for id, l := range c.leases {
+		s.leases[id] = &lease{l.ttl, time.Now().Add(l.ttl)}
+	}
+	for key, i := range operator {
+		if string(s.items[key].Value) != string(i.Value) {
+			s.revision++
+			i.Revision = s.revision
+			s.set(i)
+		}
+	}
+	s.record.Printf("store    is back from a copy, era %d, revision %d", s.era, s.revision)
+	s.notify()
+}
