--- a/review/harness-3/rig/backend.go
+++ b/review/harness-3/rig/backend.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -25,11 +26,14 @@
 	record                     *Record
 	server                     *http.Server
 
+	silent atomic.Bool
+
 	mu sync.Mutex
 	// lose is the share of the answers that are lost: the request runs, and then its connection is reset.
 	lose float64
 	// slow, if not 0, is how many times as long requests work.
-	slow int
+	slow     int
+	arrivals []Arrival
 	// again holds when requests arrived that had arrived here before.
 	again []time.Time
 	used  int
@@ -43,6 +47,13 @@
 	left map[string]bool
 }
 
+// Arrival is the arrival of a request that the server ran. Before is how often it had run it before.
+type Arrival struct {
+	ID     string
+	At     time.Time
+	Before int
+}
+
 // StartBackend starts a backend server at its address. The caller sets the exported fields.
 func StartBackend(b *Backend, record *Record) error {
 	l, err := net.Listen("tcp", b.Address)
@@ -93,6 +104,24 @@
 	b.slow = factor
 }
 
+// Drain makes the server report that it is draining, and returns when that was acknowledged.
+func (b *Backend) Drain() time.Time {
+	b.mu.Lock()
+	b.state = "draining"
+	b.mu.Unlock()
+	for !b.Heartbeat() {
+		time.Sleep(100 * time.Millisecond)
+	}
+	return time.Now()
+}
+
+// Arrivals returns when requests arrived.
+func (b *Backend) Arrivals() []Arrival {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return append([]Arrival(nil), b.arrivals...)
+}
+
 // Lose sets the share of the requests that run and whose answers are lost from now on.
 func (b *Backend) Lose(share float64) {
 	b.mu.Lock()
@@ -107,36 +136,69 @@
 	return append([]time.Time(nil), b.again...)
 }
 
-// beat sends heartbeats until the process ends.
+// beat sends heartbeats until the server has deregistered.
 func (b *Backend) beat() {
-	for {
+	for !b.silent.Load() {
 		b.Heartbeat()
 		time.Sleep(1500 * time.Millisecond)
 	}
 }
 
+// Deregister ends the heartbeats, deregisters the server, and returns when that was acknowledged. The server goes on
+// serving.
+func (b *Backend) Deregister() time.Time {
+	b.silent.Store(true)
+	for {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+b.Control+"/rpc?call="+Wire("deregister")+"&of="+b.ID, nil)
+		if err != nil {
+			panic(err)
+		}
+		resp, err := http.DefaultClient.Do(req)
+		if err == nil {
+			_ = resp.Body.Close()
+		}
+		cancel()
+		if err == nil && resp.StatusCode == http.StatusOK {
+			return time.Now()
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
 // Heartbeat sends one heartbeat and reports whether it was acknowledged.
-func (b *Backend) Heartbeat() bool {
+func (b *Backend) Heartbeat() bool { return b.Send(b.Body()) == http.StatusOK }
+
+// Body returns the body of the next heartbeat.
+func (b *Backend) Body() []byte {
 	b.mu.Lock()
+	defer b.mu.Unlock()
 	b.seq++
-	body, _ := json.Marshal(map[string]any{
+	body, err := json.Marshal(map[string]any{
 		"service": b.Service, "address": b.Address, "zone": b.Zone, "version": "v1", "slots": b.Slots, "state": b.state,
 		"cold_left": "0ms", "seq": b.seq, "born": b.Born,
 	})
-	b.mu.Unlock()
+	if err != nil {
+		panic(err)
+	}
+	return body
+}
+
+// Send sends a heartbeat and returns the status of the answer, 0 if there was none.
+func (b *Backend) Send(body []byte) int {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+b.Control+"/rpc?call="+Wire("heartbeat")+"&of="+b.ID, bytes.NewReader(body))
 	if err != nil {
-		return false
+		panic(err)
 	}
 	req.Header.Set("Content-Type", "application/json")
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
-		return false
+		return 0
 	}
 	_ = resp.Body.Close()
-	return resp.StatusCode == http.StatusOK
+	return resp.StatusCode
 }
 
 func (b *Backend) serve(w http.ResponseWriter, r *http.Request) {
@@ -155,6 +217,7 @@
 	full := b.used >= b.Slots
 	if !full {
 		b.used++
+		b.arrivals = append(b.arrivals, Arrival{id, time.Now(), b.runs[id]})
 		if b.runs[id] == 0 {
 			b.ranAt[id] = time.Now()
 		} else {
@@ -170,7 +233,7 @@
 		return
 	}
 	_, _ = io.Copy(io.Discard, r.Body)
-	b.record.Printf("run      %s at %s", id, b.ID)
+	b.record.Printf("run      %s at %s, connection %s", id, b.ID, r.RemoteAddr)
 	parts := strings.Split(strings.Trim(r.URL.Path, "/"), "/")
 	work, size := 0, 0
 	if len(parts) >= 3 {
--- a/review/harness-3/rig/site.go
+++ b/review/harness-3/rig/site.go
@@ -23,6 +23,11 @@
 
 // Config returns a configuration for the operator to write. rate is the tenant's rate, and 0 sets no limit.
 func Config(version int, routes []Route, services []string, rate, burst int) []byte {
+	return ConfigOf(version, routes, services, rate, burst, Key)
+}
+
+// ConfigOf is like Config with the tenant's keys.
+func ConfigOf(version int, routes []Route, services []string, rate, burst int, keys ...string) []byte {
 	ms := func(d time.Duration) string { return fmt.Sprintf("%dms", d.Milliseconds()) }
 	var routeRows, serviceRows [][]any
 	for _, r := range routes {
@@ -41,7 +46,7 @@
 		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 67108864, "header_timeout": "3000ms", "idle_timeout": "15000ms"},
 		"tenants": map[string]any{
 			"columns": []string{"name", "api_keys", "priority", "rate_per_s", "burst"},
-			"rows":    [][]any{{"tenant", []string{Key}, 1, rate, burst}},
+			"rows":    [][]any{{"tenant", keys, 1, rate, burst}},
 		},
 	})
 	if err != nil {
--- a/review/harness-3/rig/store.go
+++ b/review/harness-3/rig/store.go
@@ -321,6 +321,15 @@
 	return s.items[key].Value
 }
 
+// Lapse ends all leases.
+func (s *Store) Lapse() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id := range s.leases {
+		s.endLease(id)
+	}
+}
+
 // Copy is what the store held at a moment.
 type Copy struct {
 	revision, nextID uint64
@@ -344,17 +353,11 @@
 	return c
 }
 
-// Restore brings the store back from a copy, in the next era. What was written since is gone, but for what the operator
-// wrote. Leases of the copy run from now on.
+// Restore brings the store back from a copy, in the next era. What was written since is gone; the operator writes again
+// what it wrote. Leases of the copy run from now on.
 func (s *Store) Restore(c *Copy) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	operator := map[string]Item{}
-	for key, i := range s.items {
-		if strings.HasPrefix(key, "op/") {
-			operator[key] = i
-		}
-	}
 	s.era++
 	s.revision, s.nextID, s.items, s.leases = c.revision, c.nextID, map[string]Item{}, map[uint64]*lease{}
 	s.events = s.events[:c.events:c.events]
@@ -364,13 +367,6 @@
 	for id, l := range c.leases {
 		s.leases[id] = &lease{l.ttl, time.Now().Add(l.ttl)}
 	}
-	for key, i := range operator {
-		if string(s.items[key].Value) != string(i.Value) {
-			s.revision++
-			i.Revision = s.revision
-			s.set(i)
-		}
-	}
 	s.record.Printf("store    is back from a copy, era %d, revision %d", s.era, s.revision)
 	s.notify()
 }
