--- a/review/harness-3/cmd/lapse/main.go
+++ b/review/harness-3/cmd/lapse/main.go
@@ -24,8 +24,11 @@
 	down      = 1500 * time.Millisecond
 	killAfter = 300 * time.Millisecond
 	// late is how long after the acknowledgement a heartbeat arrives that was sent before it.
-	late  = 5500 * time.Millisecond
-	after = 7 * time.Second
+	late = 4000 * time.Millisecond
+	// With a planned restart in place of the kill the node's next process starts later.
+	latePlanned = 6000 * time.Millisecond
+	grace       = 6 * time.Second
+	after       = 8 * time.Second
 )
 
 func main() {
@@ -35,7 +38,7 @@
 		os.Exit(2)
 	}
 	defer record.Close()
-	trouble := os.Getenv("TROUBLE") != "0"
+	trouble, planned := os.Getenv("TROUBLE") != "0", os.Getenv("RESTART") == "term"
 	routes := []rig.Route{{Prefix: "/orders/", Kind: "unsafe", Service: "orders", Timeout: 2 * time.Second, Priority: 0, Attempts: 2}}
 	c := rig.StartCluster(record, rig.Config(1, routes, []string{"web", "orders"}, 0, 0), []rig.Place{
 		{Service: "web", Zone: "zone-a", Region: "east", Slots: 140},
@@ -48,6 +51,9 @@
 	var mu sync.Mutex
 	statuses := map[int]int{}
 	end := time.Now().Add(calm + late + after)
+	if planned {
+		end = end.Add(latePlanned - late)
+	}
 	for i := range clients {
 		wg.Go(func() {
 			for k := 0; time.Now().Before(end); k++ {
@@ -84,11 +90,20 @@
 		c.Store.SetTurn(nil)
 		record.Printf("store    is back")
 		time.Sleep(killAfter)
-		beside.Signal(syscall.SIGKILL)
+		if planned {
+			beside.Signal(syscall.SIGTERM)
+			beside.Wait(grace)
+		} else {
+			beside.Signal(syscall.SIGKILL)
+		}
 		time.Sleep(400 * time.Millisecond)
 		touch = time.Now().Add(contact)
 	}
-	time.Sleep(time.Until(acknowledged.Add(late)))
+	wait := late
+	if planned {
+		wait = latePlanned
+	}
+	time.Sleep(time.Until(acknowledged.Add(wait)))
 	record.Printf("late     heartbeat of %s: status %d", leaving.ID, leaving.Send(heartbeat))
 	wg.Wait()
 	c.Stop()
