--- a/review/harness-3/cmd/drill/main.go
+++ b/review/harness-3/cmd/drill/main.go
@@ -61,6 +61,7 @@
 		conn := rig.Dial(m, 0)
 		status := 0
 		if conn != nil {
+			record.Printf("sent     %s at %s", id, m.Name)
 			status, _ = conn.Do(rig.Request(m, "GET", "/balance/20/100", id, time.Second), time.Second, 0)
 			_ = conn.Conn.Close()
 		}
--- a/review/harness-3/cmd/lapse/main.go
+++ b/review/harness-3/cmd/lapse/main.go
@@ -61,6 +61,7 @@
 				status := 0
 				if conn != nil {
 					id := fmt.Sprintf("order-%d-%d", i, k)
+					record.Printf("sent     %s", id)
 					status, _ = conn.Do(rig.Request(entry, "POST", "/orders/50/400", id, 2*time.Second), 2*time.Second, 0)
 					_ = conn.Conn.Close()
 					record.Printf("answer   %s status %d", id, status)
--- a/review/harness-3/cmd/roll/main.go
+++ b/review/harness-3/cmd/roll/main.go
@@ -18,7 +18,7 @@
 	grace = 6 * time.Second
 	gap   = 2 * time.Second
 	// An order works between least and most; deadline and route are how long it may.
-	least    = 500 * time.Millisecond
+	least    = 2500 * time.Millisecond
 	most     = 4000 * time.Millisecond
 	deadline = 6 * time.Second
 	route    = 6 * time.Second
--- a/review/harness-3/rig/node.go
+++ b/review/harness-3/rig/node.go
@@ -213,6 +213,12 @@
 			}
 			m.Record.Printf("end      %s: its process has ended", m.Name)
 			time.Sleep(300 * time.Millisecond)
+			m.mu.Lock()
+			stopped = m.stopped
+			m.mu.Unlock()
+			if stopped {
+				return // The script has ended meanwhile.
+			}
 			_ = m.Start()
 		default:
 		}
