--- a/review/harness-3/cmd/leave/main.go
+++ b/review/harness-3/cmd/leave/main.go
@@ -17,17 +17,17 @@
 	// drain is the bound of the site.
 	drain = 2500 * time.Millisecond
 	// Requests of half of the clients work between least and most, those of the others brief.
-	// Requests of half of the clients work between least and most, those of the others brief.
-	clients     = 120
-	least       = 3500 * time.Millisecond
-	most        = 5000 * time.Millisecond
-	brief       = 200 * time.Millisecond
-	deadline    = 6 * time.Second
-	calm        = 12 * time.Second
-	lostShare   = 0.4
-	lostFor     = 6 * time.Second
-	beforeDrain = 500 * time.Millisecond
-	after       = 4 * time.Second
+	clients  = 120
+	least    = 3500 * time.Millisecond
+	most     = 5000 * time.Millisecond
+	brief    = 200 * time.Millisecond
+	deadline = 6 * time.Second
+	calm     = 12 * time.Second
+	// The server loses lostShare of its answers for lostFor, from afterDrain after its report on.
+	lostShare  = 0.4
+	lostFor    = 4 * time.Second
+	afterDrain = 1500 * time.Millisecond
+	after      = 4 * time.Second
 )
 
 func main() {
@@ -49,7 +49,7 @@
 	var mu sync.Mutex
 	statuses := map[int]int{}
 	begin := time.Now()
-	end := begin.Add(calm + beforeDrain + lostFor + after)
+	end := begin.Add(calm + afterDrain + lostFor + after)
 	for i := range clients {
 		wg.Go(func() {
 			time.Sleep(time.Duration(i) * most / clients)
@@ -82,14 +82,14 @@
 		})
 	}
 	time.Sleep(calm)
+	acknowledged := leaving.Drain()
+	record.Printf("drain    %s: acknowledged", leaving.ID)
+	time.Sleep(afterDrain)
 	if os.Getenv("TROUBLE") != "0" {
-		record.Printf("trouble  %s loses %.1f of its answers", leaving.ID, lostShare)
+		record.Printf("trouble  %s loses %.1f of its answers for %v", leaving.ID, lostShare, lostFor)
 		leaving.Lose(lostShare)
 	}
-	time.Sleep(beforeDrain)
-	acknowledged := leaving.Drain()
-	record.Printf("drain    %s: acknowledged", leaving.ID)
-	time.Sleep(lostFor - beforeDrain)
+	time.Sleep(lostFor)
 	leaving.Lose(0)
 	wg.Wait()
 	c.Stop()
